--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -0,0 +1,104 @@
+package org.corianderweir.bench;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.corianderweir.bench.backend.BackendStandIn;
+import org.corianderweir.bench.demo.Demonstration;
+import org.corianderweir.bench.platform.PlatformStandIn;
+
+/** The program {@code weirbench}: stand-ins and experiments, each a command. */
+public final class BenchMain {
+  private static final int EXIT_USAGE = 2;
+
+  private BenchMain() {}
+
+  /** A command of the program. */
+  private interface Command {
+    int run() throws InterruptedException;
+  }
+
+  /** Runs a stand-in of the platform until it is killed. */
+  private static final class PlatformCommand implements Command {
+    @Parameter(names = "--host", required = true, description = "IP address to listen on")
+    private String host = "";
+
+    @Parameter(names = "--port", required = true, description = "TCP port to listen on")
+    private int port;
+
+    @Override
+    public int run() throws InterruptedException {
+      new PlatformStandIn(host, port).start();
+      new CountDownLatch(1).await();
+      return 0;
+    }
+  }
+
+  /** Runs stand-in backend servers of one availability zone until they are killed. */
+  private static final class BackendCommand implements Command {
+    @Parameter(
+        names = "--server",
+        required = true,
+        description = "name/host/port/slots; may be given several times")
+    private List<String> servers = new ArrayList<>();
+
+    @Parameter(names = "--service-milliseconds", description = "time a request takes")
+    private long serviceMilliseconds = 10;
+
+    @Override
+    public int run() throws InterruptedException {
+      for (String server : servers) {
+        String[] parts = server.split("/");
+        new BackendStandIn(
+                parts[0],
+                parts[1],
+                Integer.parseInt(parts[2]),
+                Integer.parseInt(parts[3]),
+                Duration.ofMillis(serviceMilliseconds))
+            .start();
+      }
+      new CountDownLatch(1).await();
+      return 0;
+    }
+  }
+
+  /** Runs the demonstration. */
+  private static final class DemoCommand implements Command {
+    @Parameter(names = "--first-port", description = "first TCP port that is used")
+    private int firstPort = 20_000;
+
+    @Override
+    public int run() {
+      return new Demonstration(firstPort, System.out).run();
+    }
+  }
+
+  /** Runs the command that the arguments name. */
+  public static void main(String[] arguments) throws InterruptedException {
+    Map<String, Command> commands =
+        Map.of(
+            "platform", new PlatformCommand(),
+            "backend", new BackendCommand(),
+            "demo", new DemoCommand());
+    JCommander commander = JCommander.newBuilder().programName("weirbench").build();
+    commands.forEach(commander::addCommand);
+    try {
+      commander.parse(arguments);
+    } catch (ParameterException failure) {
+      System.err.println(failure.getMessage());
+      System.exit(EXIT_USAGE);
+    }
+    Command command = commands.get(String.valueOf(commander.getParsedCommand()));
+    if (command == null) {
+      commander.usage();
+      System.exit(EXIT_USAGE);
+      return;
+    }
+    System.exit(command.run());
+  }
+}
--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/platform/package-info.java
@@ -0,0 +1,5 @@
+/** Stand-in for the platform's key-value service and instance list. */
+@NullMarked
+package org.corianderweir.bench.platform;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/process/ChildProcesses.java
@@ -0,0 +1,78 @@
+package org.corianderweir.bench.process;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** The Java processes of one run; closing it ends those that are left. */
+public final class ChildProcesses implements AutoCloseable {
+  private static final long KILL_WAIT_SECONDS = 5;
+
+  private final File logDirectory;
+  private final Map<String, Process> processes = new LinkedHashMap<>();
+
+  /**
+   * Creates an empty set.
+   *
+   * @param logDirectory where each process writes its output
+   */
+  public ChildProcesses(File logDirectory) {
+    this.logDirectory = logDirectory;
+  }
+
+  /** Starts a main class with this process's class path. */
+  public Process start(String name, Class<?> mainClass, List<String> arguments) {
+    List<String> command = new ArrayList<>();
+    command.add(String.join(File.separator, System.getProperty("java.home", ""), "bin", "java"));
+    command.add("-Xmx96m");
+    command.add("-XX:+UseSerialGC");
+    command.add("-XX:TieredStopAtLevel=1");
+    command.add("-cp");
+    command.add(classPath());
+    command.add(mainClass.getName());
+    command.addAll(arguments);
+    try {
+      Process process =
+          new ProcessBuilder(command)
+              .redirectErrorStream(true)
+              .redirectOutput(new File(logDirectory, name + ".log"))
+              .start();
+      processes.put(name, process);
+      return process;
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  /** Returns a process by name. */
+  public Process get(String name) {
+    Process process = processes.get(name);
+    if (process == null) {
+      throw new IllegalArgumentException("no process " + name);
+    }
+    return process;
+  }
+
+  @Override
+  public void close() {
+    processes.values().forEach(Process::destroyForcibly);
+    for (Process process : processes.values()) {
+      try {
+        process.waitFor(KILL_WAIT_SECONDS, TimeUnit.SECONDS);
+      } catch (InterruptedException interrupted) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
+  /** Under Surefire the class path of the JVM is only a manifest; the real one is a property. */
+  private static String classPath() {
+    String own = System.getProperty("java.class.path", "");
+    return System.getProperty("surefire.test.class.path", own);
+  }
+}
--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/process/package-info.java
@@ -0,0 +1,5 @@
+/** Starts and ends the processes of a demonstration or experiment. */
+@NullMarked
+package org.corianderweir.bench.process;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -0,0 +1,108 @@
+package org.corianderweir.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import org.corianderweir.daemon.control.ConfigurationService;
+import org.corianderweir.daemon.control.ControlService;
+import org.corianderweir.daemon.control.EventLog;
+import org.corianderweir.daemon.control.LimitService;
+import org.corianderweir.daemon.control.MembershipService;
+import org.corianderweir.daemon.operator.OperatorService;
+import org.corianderweir.daemon.peer.PeerTransport;
+import org.corianderweir.daemon.platform.HttpPlatformService;
+import org.corianderweir.daemon.settings.DaemonSettings;
+import org.corianderweir.daemon.traffic.TrafficService;
+import org.corianderweir.http.HttpClient;
+import org.corianderweir.http.HttpClientOptions;
+import org.corianderweir.kernel.Kernel;
+import org.corianderweir.kernel.TimeSource;
+import org.corianderweir.model.timeline.EventCode;
+import org.corianderweir.model.topology.EntryInstance;
+
+/** Puts the services of an entry instance together and runs them until a planned stop. */
+public final class Daemon {
+  private static final Duration PLATFORM_CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration PLATFORM_IDLE_LIFETIME = Duration.ofSeconds(20);
+  private static final int PLATFORM_ANSWER_LIMIT_BYTES = 2 * 1024 * 1024;
+
+  private final EntryInstance self;
+  private final EventLog events;
+  private final HttpClient platformClient;
+  private final MembershipService membership;
+  private final Kernel kernel = new Kernel();
+  private final CountDownLatch stopRequested = new CountDownLatch(1);
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private volatile boolean stoppedAsPlanned;
+
+  /** Creates the services; nothing is started yet. */
+  public Daemon(DaemonSettings settings, TimeSource time) {
+    self = settings.instance();
+    events = new EventLog(self.name(), time);
+    MetricRegistry metrics = new MetricRegistry();
+    platformClient =
+        new HttpClient(
+            new HttpClientOptions(
+                "platform",
+                PLATFORM_CONNECT_TIMEOUT,
+                PLATFORM_IDLE_LIFETIME,
+                PLATFORM_ANSWER_LIMIT_BYTES));
+    HttpPlatformService platform = new HttpPlatformService(platformClient, settings.platform());
+    ControlService control = new ControlService(events);
+    ConfigurationService configuration = new ConfigurationService(platform, control.loop(), events);
+    PeerTransport transport = new PeerTransport(self, events);
+    membership =
+        new MembershipService(
+            self, platform, control.loop(), events, configuration, transport, time);
+    LimitService limits = new LimitService(configuration);
+    TrafficService traffic =
+        new TrafficService(self, configuration, membership, limits, events, metrics, time);
+    OperatorService operators =
+        new OperatorService(
+            settings, configuration, membership, events, metrics, stopRequested::countDown);
+    kernel
+        .register(EventLog.NAME, events)
+        .register(ControlService.NAME, control)
+        .register(ConfigurationService.NAME, configuration)
+        .register(PeerTransport.NAME, transport)
+        .register(MembershipService.NAME, membership)
+        .register(LimitService.NAME, limits)
+        .register(OperatorService.NAME, operators)
+        .register(TrafficService.NAME, traffic);
+  }
+
+  /** Starts the services and returns after a planned stop. */
+  public void run() {
+    Runtime.getRuntime().addShutdownHook(new Thread(this::stopAndExit, "shutdown"));
+    try {
+      platformClient.start();
+      kernel.start();
+      events.record(EventCode.INSTANCE_STARTED, self.name(), "host=" + self.host());
+      await(stopRequested);
+      membership.leave();
+      kernel.stop();
+      platformClient.stop();
+      events.record(EventCode.INSTANCE_STOPPED, self.name(), "");
+      stoppedAsPlanned = true;
+    } finally {
+      stopped.countDown();
+    }
+  }
+
+  /** A signal that was followed by a planned stop is a success, so the exit status is zero. */
+  private void stopAndExit() {
+    stopRequested.countDown();
+    await(stopped);
+    if (stoppedAsPlanned) {
+      Runtime.getRuntime().halt(0);
+    }
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/control/EventLog.java
@@ -0,0 +1,74 @@
+package org.corianderweir.daemon.control;
+
+import java.util.List;
+import org.corianderweir.kernel.Service;
+import org.corianderweir.kernel.ServiceDirectory;
+import org.corianderweir.kernel.ServiceName;
+import org.corianderweir.kernel.TimeSource;
+import org.corianderweir.logic.timeline.EventRing;
+import org.corianderweir.logic.timeline.HybridClock;
+import org.corianderweir.model.timeline.EventCode;
+import org.corianderweir.model.timeline.TimelineEvent;
+import org.jboss.logging.Logger;
+
+/** Writes events to the log and keeps the latest for the time line. Thread-safe. */
+public final class EventLog implements Service {
+  /** The name of this service. */
+  public static final ServiceName<EventLog> NAME = new ServiceName<>("events", EventLog.class);
+
+  private static final Logger LOGGER = Logger.getLogger("org.corianderweir.events");
+  private static final int RING_CAPACITY = 4096;
+
+  private final HybridClock clock = new HybridClock();
+  private final EventRing ring;
+  private final TimeSource time;
+
+  /** Creates an empty log of a process. */
+  public EventLog(String process, TimeSource time) {
+    this.ring = new EventRing(process, RING_CAPACITY, clock);
+    this.time = time;
+  }
+
+  /** Records an event that happens now. */
+  public void record(EventCode code, String subject, String detail) {
+    TimelineEvent event = ring.record(code, subject, detail, time.wallMilliseconds());
+    LOGGER.logf(
+        level(code),
+        "WEIR-%04d %s: subject=%s process=%s %s",
+        code.number(),
+        code.title(),
+        subject,
+        event.process(),
+        detail);
+  }
+
+  /** Returns the hybrid clock of the process. */
+  public HybridClock clock() {
+    return clock;
+  }
+
+  /** Returns the events kept, oldest first. */
+  public List<TimelineEvent> events() {
+    return ring.snapshot();
+  }
+
+  @Override
+  public List<ServiceName<?>> dependencies() {
+    return List.of();
+  }
+
+  @Override
+  public void start(ServiceDirectory directory) {}
+
+  @Override
+  public void stop() {}
+
+  private static Logger.Level level(EventCode code) {
+    return switch (code.severity()) {
+      case DEBUG -> Logger.Level.DEBUG;
+      case INFO -> Logger.Level.INFO;
+      case WARNING -> Logger.Level.WARN;
+      case ERROR -> Logger.Level.ERROR;
+    };
+  }
+}
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/peer/FrameFilter.java
@@ -0,0 +1,54 @@
+package org.corianderweir.daemon.peer;
+
+import org.corianderweir.model.ErrorCode;
+import org.corianderweir.model.WeirException;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.memory.MemoryManager;
+
+/** Splits a TCP stream into frames: a length of four bytes, big-endian, then the payload. */
+final class FrameFilter extends BaseFilter {
+  private static final int LENGTH_BYTES = 4;
+
+  private final int frameLimitBytes;
+
+  FrameFilter(int frameLimitBytes) {
+    this.frameLimitBytes = frameLimitBytes;
+  }
+
+  @Override
+  public NextAction handleRead(FilterChainContext context) {
+    Buffer buffer = context.getMessage();
+    if (buffer.remaining() < LENGTH_BYTES) {
+      return context.getStopAction(buffer);
+    }
+    int length = buffer.getInt(buffer.position());
+    if (length <= 0 || length > frameLimitBytes) {
+      throw new WeirException(ErrorCode.FRAME_INVALID, "frame of " + length + " bytes");
+    }
+    if (buffer.remaining() < LENGTH_BYTES + length) {
+      return context.getStopAction(buffer);
+    }
+    Buffer rest = buffer.split(buffer.position() + LENGTH_BYTES + length);
+    buffer.position(buffer.position() + LENGTH_BYTES);
+    byte[] payload = new byte[length];
+    buffer.get(payload);
+    buffer.tryDispose();
+    context.setMessage(payload);
+    return context.getInvokeAction(rest.hasRemaining() ? rest : null);
+  }
+
+  @Override
+  public NextAction handleWrite(FilterChainContext context) {
+    byte[] payload = context.getMessage();
+    Buffer frame = MemoryManager.DEFAULT_MEMORY_MANAGER.allocate(LENGTH_BYTES + payload.length);
+    frame.putInt(payload.length);
+    frame.put(payload);
+    frame.flip();
+    frame.allowBufferDispose(true);
+    context.setMessage(frame);
+    return context.getInvokeAction();
+  }
+}
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/platform/HttpPlatformService.java
@@ -0,0 +1,101 @@
+package org.corianderweir.daemon.platform;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.corianderweir.http.HttpAddress;
+import org.corianderweir.http.HttpCall;
+import org.corianderweir.http.HttpClient;
+import org.corianderweir.http.HttpHeaders;
+import org.corianderweir.http.HttpReply;
+import org.corianderweir.logic.platform.PlatformService;
+import org.corianderweir.model.ErrorCode;
+import org.corianderweir.model.WeirException;
+import org.corianderweir.model.platform.ListedInstance;
+import org.corianderweir.model.platform.StoredValue;
+import org.corianderweir.model.platform.WriteResult;
+import org.corianderweir.protocol.Json;
+
+/** The platform's service over its HTTP protocol (docs/PLATFORM.md). */
+public final class HttpPlatformService implements PlatformService {
+  private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
+  private static final int STATUS_OK = 200;
+  private static final int STATUS_ABSENT = 404;
+  private static final int STATUS_CONFLICT = 409;
+
+  private final HttpClient client;
+  private final HttpAddress address;
+
+  private record Version(long version) {}
+
+  private record InstanceList(List<ListedInstance> instances) {}
+
+  /** Creates a client of the service at an address. */
+  public HttpPlatformService(HttpClient client, HttpAddress address) {
+    this.client = client;
+    this.address = address;
+  }
+
+  @Override
+  public CompletableFuture<Optional<StoredValue>> read(String key) {
+    return readTarget(target(key), CALL_TIMEOUT);
+  }
+
+  @Override
+  public CompletableFuture<Optional<StoredValue>> watch(
+      String key, long knownVersion, Duration patience) {
+    String query = "?newer-than=" + knownVersion + "&wait-milliseconds=" + patience.toMillis();
+    return readTarget(target(key) + query, patience.plus(CALL_TIMEOUT));
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> compareAndSwap(
+      String key, long expectedVersion, String value) {
+    HttpCall call =
+        new HttpCall(
+            "PUT",
+            target(key) + "?expected-version=" + expectedVersion,
+            HttpHeaders.NONE,
+            value.getBytes(StandardCharsets.UTF_8));
+    return client.exchange(address, call, CALL_TIMEOUT).thenApply(this::writeResult);
+  }
+
+  @Override
+  public CompletableFuture<List<ListedInstance>> listInstances() {
+    return client
+        .exchange(address, HttpCall.of("GET", "/instances"), CALL_TIMEOUT)
+        .thenApply(reply -> Json.read(okBody(reply), InstanceList.class).instances());
+  }
+
+  private CompletableFuture<Optional<StoredValue>> readTarget(String target, Duration timeout) {
+    return client
+        .exchange(address, HttpCall.of("GET", target), timeout)
+        .thenApply(
+            reply ->
+                reply.status() == STATUS_ABSENT
+                    ? Optional.empty()
+                    : Optional.of(Json.read(okBody(reply), StoredValue.class)));
+  }
+
+  private WriteResult writeResult(HttpReply reply) {
+    if (reply.status() == STATUS_CONFLICT) {
+      return new WriteResult.Conflict(Json.read(reply.bodyText(), Version.class).version());
+    }
+    return new WriteResult.Written(Json.read(okBody(reply), Version.class).version());
+  }
+
+  private static String okBody(HttpReply reply) {
+    if (reply.status() != STATUS_OK) {
+      throw new WeirException(
+          ErrorCode.PLATFORM_UNAVAILABLE, "the platform answered " + reply.status());
+    }
+    return reply.bodyText();
+  }
+
+  private static String target(String key) {
+    return "/values/" + URLEncoder.encode(key, StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/settings/DaemonSettings.java
@@ -0,0 +1,15 @@
+package org.corianderweir.daemon.settings;
+
+import org.corianderweir.http.HttpAddress;
+import org.corianderweir.model.topology.EntryInstance;
+
+/**
+ * The checked settings of a daemon.
+ *
+ * @param instance this entry instance and its addresses
+ * @param platform address of the platform's service
+ * @param operatorCredential secret that operators show
+ * @param peerSecret secret that entry instances prove to each other
+ */
+public record DaemonSettings(
+    EntryInstance instance, HttpAddress platform, String operatorCredential, String peerSecret) {}
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
@@ -0,0 +1,138 @@
+package org.corianderweir.daemon.traffic;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.corianderweir.daemon.control.ConfigurationService;
+import org.corianderweir.daemon.control.EventLog;
+import org.corianderweir.daemon.control.LimitService;
+import org.corianderweir.daemon.control.MembershipService;
+import org.corianderweir.http.HttpCall;
+import org.corianderweir.http.HttpClient;
+import org.corianderweir.http.HttpClientOptions;
+import org.corianderweir.http.HttpListener;
+import org.corianderweir.http.HttpListenerOptions;
+import org.corianderweir.http.HttpReply;
+import org.corianderweir.kernel.Service;
+import org.corianderweir.kernel.ServiceDirectory;
+import org.corianderweir.kernel.ServiceName;
+import org.corianderweir.kernel.TimeSource;
+import org.corianderweir.logic.lookup.EntrySelector;
+import org.corianderweir.model.configuration.Configuration;
+import org.corianderweir.model.request.LookupAnswer;
+import org.corianderweir.model.request.RefusalReason;
+import org.corianderweir.model.topology.EntryInstance;
+import org.corianderweir.model.topology.InstanceState;
+import org.corianderweir.protocol.Json;
+
+/** Listens for callers: answers look-ups and steers requests to backend servers. */
+public final class TrafficService implements Service {
+  /** The name of this service. */
+  public static final ServiceName<TrafficService> NAME =
+      new ServiceName<>("traffic", TrafficService.class);
+
+  /** The path of look-ups. */
+  public static final String LOOKUP_PATH = "/.weir/look-up";
+
+  private static final int BODY_LIMIT_BYTES = 1024 * 1024;
+  private static final int ANSWER_LIMIT_BYTES = 8 * 1024 * 1024;
+  private static final int WORKER_THREADS = 4;
+  private static final int STATUS_OK = 200;
+  private static final Duration LOOKUP_LIFETIME = Duration.ofSeconds(2);
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration IDLE_LIFETIME = Duration.ofSeconds(30);
+  private static final Duration STOP_POLL_PERIOD = Duration.ofMillis(20);
+  private static final Duration STOP_LIMIT = Duration.ofSeconds(65);
+
+  private final EntryInstance self;
+  private final ConfigurationService configuration;
+  private final MembershipService membership;
+  private final TimeSource time;
+  private final HttpClient client;
+  private final HttpListener listener;
+  private final RequestPipeline pipeline;
+  private volatile TrafficSnapshot snapshot = TrafficSnapshot.of(Configuration.EMPTY);
+
+  /** Creates the service; it does not listen yet. */
+  public TrafficService(
+      EntryInstance self,
+      ConfigurationService configuration,
+      MembershipService membership,
+      LimitService limits,
+      EventLog events,
+      MetricRegistry metrics,
+      TimeSource time) {
+    this.self = self;
+    this.configuration = configuration;
+    this.membership = membership;
+    this.time = time;
+    client =
+        new HttpClient(
+            new HttpClientOptions("backend", CONNECT_TIMEOUT, IDLE_LIFETIME, ANSWER_LIMIT_BYTES));
+    pipeline = new RequestPipeline(self.name(), client, limits, events, metrics, time);
+    listener =
+        new HttpListener(
+            new HttpListenerOptions(
+                "callers", self.host(), self.callerPort(), BODY_LIMIT_BYTES, WORKER_THREADS),
+            this::answer);
+  }
+
+  @Override
+  public List<ServiceName<?>> dependencies() {
+    return List.of(MembershipService.NAME, LimitService.NAME);
+  }
+
+  @Override
+  public void start(ServiceDirectory directory) {
+    configuration.onChange(changed -> snapshot = TrafficSnapshot.of(changed));
+    client.start();
+    listener.start();
+  }
+
+  /** Ends after the look-up answers given have expired and all requests have been answered. */
+  @Override
+  public void stop() {
+    long lookupsExpired = time.monotonicNanoseconds() + LOOKUP_LIFETIME.toNanos();
+    long limit = time.monotonicNanoseconds() + STOP_LIMIT.toNanos();
+    while (time.monotonicNanoseconds() < lookupsExpired
+        || (pipeline.requestsInFlight() > 0 && time.monotonicNanoseconds() < limit)) {
+      sleep();
+    }
+    listener.stop(STOP_POLL_PERIOD.toMillis());
+    client.stop();
+  }
+
+  private static void sleep() {
+    try {
+      Thread.sleep(STOP_POLL_PERIOD.toMillis());
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private CompletableFuture<HttpReply> answer(HttpCall call) {
+    if (membership.state() == InstanceState.JOINING) {
+      return CompletableFuture.completedFuture(
+          Refusals.reply(RefusalReason.NOT_SERVING, "no configuration yet", self.name()));
+    }
+    if (call.path().equals(LOOKUP_PATH)) {
+      return CompletableFuture.completedFuture(lookup(call));
+    }
+    return pipeline.answer(call, snapshot);
+  }
+
+  private HttpReply lookup(HttpCall call) {
+    String zone = call.parameter("availability-zone", self.availabilityZone());
+    String region =
+        snapshot.configuration().zones().stream()
+            .filter(known -> known.name().equals(zone))
+            .map(known -> known.region())
+            .findFirst()
+            .orElse(self.region());
+    LookupAnswer answer =
+        EntrySelector.select(
+            membership.members(), call.parameter("client", ""), zone, region, LOOKUP_LIFETIME);
+    return HttpReply.json(STATUS_OK, Json.write(answer));
+  }
+}
--- /dev/null
+++ b/weirhttp/src/main/java/org/corianderweir/http/HopByHop.java
@@ -0,0 +1,40 @@
+package org.corianderweir.http;
+
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Set;
+
+/** Header fields that belong to one connection and are not handed on (RFC 9110, section 7.6.1). */
+public final class HopByHop {
+  private static final Set<String> NAMES =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "proxy-connection",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "content-length",
+          "expect",
+          "host",
+          "date",
+          "server");
+
+  private HopByHop() {}
+
+  /** Returns the fields that may be handed on. */
+  public static HttpHeaders strip(HttpHeaders headers) {
+    Set<String> names = new HashSet<>(NAMES);
+    for (HttpHeader field : headers.fields()) {
+      if (field.name().equalsIgnoreCase("connection")) {
+        for (String token : field.value().split(",")) {
+          names.add(token.trim().toLowerCase(Locale.ROOT));
+        }
+      }
+    }
+    return headers.without(names);
+  }
+}
--- /dev/null
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpCall.java
@@ -0,0 +1,45 @@
+package org.corianderweir.http;
+
+/**
+ * A whole HTTP request.
+ *
+ * @param method method in upper case
+ * @param target path with the query, if any
+ * @param headers header fields
+ * @param body bytes of the body; empty if there is none
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record HttpCall(String method, String target, HttpHeaders headers, byte[] body) {
+  private static final byte[] NO_BODY = new byte[0];
+
+  /** Returns a request without a body. */
+  public static HttpCall of(String method, String target) {
+    return new HttpCall(method, target, HttpHeaders.NONE, NO_BODY);
+  }
+
+  /** Returns the path without the query. */
+  public String path() {
+    int query = target.indexOf('?');
+    return query < 0 ? target : target.substring(0, query);
+  }
+
+  /** Returns the value of a query parameter, or the fallback if it is absent. */
+  public String parameter(String name, String fallback) {
+    int query = target.indexOf('?');
+    if (query < 0) {
+      return fallback;
+    }
+    for (String pair : target.substring(query + 1).split("&")) {
+      if (pair.startsWith(name + '=')) {
+        String raw = pair.substring(name.length() + 1);
+        return java.net.URLDecoder.decode(raw, java.nio.charset.StandardCharsets.UTF_8);
+      }
+    }
+    return fallback;
+  }
+
+  /** Returns the body as UTF-8 text. */
+  public String bodyText() {
+    return new String(body, java.nio.charset.StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpEndpoint.java
@@ -0,0 +1,12 @@
+package org.corianderweir.http;
+
+import java.util.concurrent.CompletableFuture;
+
+/** Answers whole requests. */
+public interface HttpEndpoint {
+  /**
+   * Starts to answer a request; must not block. The server cancels the future when the caller goes
+   * away.
+   */
+  CompletableFuture<HttpReply> handle(HttpCall call);
+}
--- /dev/null
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpHeaders.java
@@ -0,0 +1,45 @@
+package org.corianderweir.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Header fields in order; names compare without regard to case.
+ *
+ * @param fields the fields
+ */
+public record HttpHeaders(List<HttpHeader> fields) {
+  /** No fields. */
+  public static final HttpHeaders NONE = new HttpHeaders(List.of());
+
+  /** Copies the list. */
+  public HttpHeaders {
+    fields = List.copyOf(fields);
+  }
+
+  /** Returns the first value of a name. */
+  public Optional<String> first(String name) {
+    return fields.stream()
+        .filter(field -> field.name().equalsIgnoreCase(name))
+        .map(HttpHeader::value)
+        .findFirst();
+  }
+
+  /** Returns these fields and one more. */
+  public HttpHeaders with(String name, String value) {
+    List<HttpHeader> extended = new ArrayList<>(fields);
+    extended.add(new HttpHeader(name, value));
+    return new HttpHeaders(extended);
+  }
+
+  /** Returns these fields less those with the given names, which are in lower case. */
+  public HttpHeaders without(Set<String> lowerCaseNames) {
+    return new HttpHeaders(
+        fields.stream()
+            .filter(field -> !lowerCaseNames.contains(field.name().toLowerCase(Locale.ROOT)))
+            .toList());
+  }
+}
--- /dev/null
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
@@ -0,0 +1,67 @@
+package org.corianderweir.http;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.corianderweir.model.ErrorCode;
+import org.corianderweir.model.WeirException;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/** An HTTP server on one address that hands whole requests to an endpoint. */
+public final class HttpListener {
+  private static final int IDLE_SECONDS = 60;
+  private static final int HEADER_LIMIT_BYTES = 16 * 1024;
+
+  private final HttpServer server;
+  private final NetworkListener listener;
+
+  /** Creates a server that does not listen yet. */
+  public HttpListener(HttpListenerOptions options, HttpEndpoint endpoint) {
+    server = new HttpServer();
+    listener = new NetworkListener(options.name(), options.host(), options.port());
+    listener.getKeepAlive().setIdleTimeoutInSeconds(IDLE_SECONDS);
+    listener.getKeepAlive().setMaxRequestsCount(-1);
+    listener.setMaxHttpHeaderSize(HEADER_LIMIT_BYTES);
+    listener
+        .getTransport()
+        .setWorkerThreadPoolConfig(
+            ThreadPoolConfig.defaultConfig()
+                .setPoolName(options.name())
+                .setDaemon(true)
+                .setCorePoolSize(options.workerThreads())
+                .setMaxPoolSize(options.workerThreads()));
+    listener.getTransport().setSelectorRunnersCount(1);
+    server.addListener(listener);
+    server.getServerConfiguration().setName("corianderweir-" + options.name());
+    server
+        .getServerConfiguration()
+        .addHttpHandler(new EndpointHandler(endpoint, options.bodyLimitBytes()), "/");
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @throws WeirException with code {@code CONNECT_FAILED} if the address can't be bound
+   */
+  public void start() {
+    try {
+      server.start();
+    } catch (IOException failure) {
+      throw new WeirException(
+          ErrorCode.CONNECT_FAILED,
+          "can't listen on " + listener.getHost() + ":" + listener.getPort(),
+          failure);
+    }
+  }
+
+  /** Returns the port that the server listens on. */
+  public int port() {
+    return listener.getPort();
+  }
+
+  /** Stops to accept connections and closes those that are idle after the given time. */
+  public void stop(long graceMilliseconds) {
+    server.shutdown(graceMilliseconds, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpReply.java
@@ -0,0 +1,29 @@
+package org.corianderweir.http;
+
+import java.nio.charset.StandardCharsets;
+
+/**
+ * A whole HTTP answer.
+ *
+ * @param status status code
+ * @param headers header fields, without those that frame the body
+ * @param body bytes of the body
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record HttpReply(int status, HttpHeaders headers, byte[] body) {
+  /** Returns an answer with a JSON body. */
+  public static HttpReply json(int status, String body) {
+    HttpHeaders headers = HttpHeaders.NONE.with("Content-Type", "application/json");
+    return new HttpReply(status, headers, body.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Returns this answer with one more header field. */
+  public HttpReply with(String name, String value) {
+    return new HttpReply(status, headers.with(name, value), body);
+  }
+
+  /** Returns the body as UTF-8 text. */
+  public String bodyText() {
+    return new String(body, StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/kernel/ControlLoop.java
@@ -0,0 +1,69 @@
+package org.corianderweir.kernel;
+
+import java.time.Duration;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * The one thread that owns all control state. Other threads hand it tasks; they never touch its
+ * state and never wait for it.
+ */
+public final class ControlLoop implements Executor {
+  private final ScheduledThreadPoolExecutor executor;
+  private final Consumer<Throwable> failureHandler;
+
+  /**
+   * Creates the loop and its thread.
+   *
+   * @param failureHandler told of each failure of a task; the loop goes on
+   */
+  public ControlLoop(Consumer<Throwable> failureHandler) {
+    this.failureHandler = failureHandler;
+    this.executor =
+        new ScheduledThreadPoolExecutor(
+            1,
+            task -> {
+              Thread thread = new Thread(task, "control");
+              thread.setDaemon(true);
+              return thread;
+            });
+    executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+  }
+
+  /** Runs a task on the control thread. */
+  @Override
+  public void execute(Runnable task) {
+    if (!executor.isShutdown()) {
+      executor.execute(guard(task));
+    }
+  }
+
+  /** Runs a task on the control thread again and again, with the given time between two runs. */
+  public void every(Duration period, Runnable task) {
+    executor.scheduleWithFixedDelay(guard(task), 0, period.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  /** Runs a task on the control thread after a time. */
+  public void after(Duration delay, Runnable task) {
+    if (!executor.isShutdown()) {
+      executor.schedule(guard(task), delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+  }
+
+  /** Ends the loop; tasks that have not begun are dropped. */
+  public void stop() {
+    executor.shutdownNow();
+  }
+
+  private Runnable guard(Runnable task) {
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException failure) {
+        failureHandler.accept(failure);
+      }
+    };
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationEditor.java
@@ -0,0 +1,67 @@
+package org.corianderweir.logic.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.corianderweir.model.ErrorCode;
+import org.corianderweir.model.WeirException;
+import org.corianderweir.model.configuration.AccessKey;
+import org.corianderweir.model.configuration.BackendServer;
+import org.corianderweir.model.configuration.Configuration;
+
+/** Applies changes to a configuration. Pure functions. */
+public final class ConfigurationEditor {
+  private ConfigurationEditor() {}
+
+  /**
+   * Returns the configuration after a change, one revision later.
+   *
+   * @param operation identifier of the change
+   * @throws WeirException with code {@code CONFIGURATION_INVALID} if the change names nothing
+   */
+  public static Configuration apply(
+      Configuration current, ConfigurationChange change, String operation) {
+    Configuration.Builder changed =
+        switch (change) {
+          case ConfigurationChange.Replace replace -> replace.configuration().toBuilder();
+          case ConfigurationChange.AddKey add -> current.toBuilder().keys(added(current, add));
+          case ConfigurationChange.WithdrawKey withdraw ->
+              current.toBuilder().keys(withdrawn(current, withdraw));
+          case ConfigurationChange.SetDrained drain ->
+              current.toBuilder().backendServers(drained(current, drain));
+        };
+    return changed.revision(current.revision() + 1).operation(operation).build();
+  }
+
+  private static List<AccessKey> added(Configuration current, ConfigurationChange.AddKey add) {
+    List<AccessKey> keys = new ArrayList<>(current.keys());
+    keys.add(add.key());
+    return keys;
+  }
+
+  private static List<AccessKey> withdrawn(
+      Configuration current, ConfigurationChange.WithdrawKey withdraw) {
+    List<AccessKey> keys = new ArrayList<>(current.keys());
+    if (!keys.removeIf(key -> key.identifier().equals(withdraw.identifier()))) {
+      throw invalid("no key " + withdraw.identifier());
+    }
+    return keys;
+  }
+
+  private static List<BackendServer> drained(
+      Configuration current, ConfigurationChange.SetDrained drain) {
+    boolean known =
+        current.backendServers().stream().anyMatch(server -> server.name().equals(drain.server()));
+    if (!known) {
+      throw invalid("no backend server " + drain.server());
+    }
+    return current.backendServers().stream()
+        .map(
+            server ->
+                server.name().equals(drain.server()) ? server.withDrained(drain.drained()) : server)
+        .toList();
+  }
+
+  private static WeirException invalid(String message) {
+    return new WeirException(ErrorCode.CONFIGURATION_INVALID, message);
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/keys/KeyDirectory.java
@@ -0,0 +1,38 @@
+package org.corianderweir.logic.keys;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.corianderweir.model.configuration.AccessKey;
+
+/** Checks presented keys against those in force. Immutable. */
+public final class KeyDirectory {
+  /** Compared against when an identifier is unknown, so that both cases take the same time. */
+  private static final AccessKey UNKNOWN = new AccessKey("", "", "00", "00".repeat(32));
+
+  private final Map<String, AccessKey> byIdentifier;
+
+  /** Creates a directory of the keys in force. */
+  public KeyDirectory(List<AccessKey> keys) {
+    byIdentifier =
+        keys.stream().collect(Collectors.toMap(AccessKey::identifier, Function.identity()));
+  }
+
+  /** Decides on a presented key; the time it takes does not depend on the secret. */
+  public KeyDecision check(String presented) {
+    int separator = KeyHasher.separatorPosition(presented);
+    String identifier = separator < 0 ? "" : presented.substring(0, separator);
+    String secret = presented.substring(separator + 1);
+    AccessKey key = byIdentifier.getOrDefault(identifier, UNKNOWN);
+    byte[] actual = KeyHasher.hash(key.salt(), secret).getBytes(StandardCharsets.US_ASCII);
+    byte[] expected = key.hash().getBytes(StandardCharsets.US_ASCII);
+    boolean equal = MessageDigest.isEqual(actual, expected);
+    if (equal && !key.identifier().isEmpty()) {
+      return new KeyDecision.Accepted(key.organisation());
+    }
+    return new KeyDecision.Rejected();
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/AdmissionDecision.java
@@ -0,0 +1,14 @@
+package org.corianderweir.logic.limits;
+
+/** Whether an organisation's request is inside its rate and burst. */
+public sealed interface AdmissionDecision {
+  /** The request may go on. */
+  record Admitted() implements AdmissionDecision {}
+
+  /**
+   * The organisation is over its rate.
+   *
+   * @param retryAfterMilliseconds time after which there may be an allowance
+   */
+  record Refused(long retryAfterMilliseconds) implements AdmissionDecision {}
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/membership/MembershipTable.java
@@ -0,0 +1,59 @@
+package org.corianderweir.logic.membership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Tracks entry instances by their heartbeats. Used by the control thread alone. */
+public final class MembershipTable {
+  private final long silenceNanoseconds;
+  private final Map<String, Entry> entries = new TreeMap<>();
+
+  private record Entry(Member member, long heardNanoseconds) {}
+
+  /**
+   * Creates an empty table.
+   *
+   * @param silence time without a heartbeat after which an instance counts as gone
+   */
+  public MembershipTable(Duration silence) {
+    silenceNanoseconds = silence.toNanos();
+  }
+
+  /** Takes note of a heartbeat; an older incarnation is ignored. Returns whether it is news. */
+  public boolean heard(Member member, long nowNanoseconds) {
+    Entry known = entries.get(member.instance().name());
+    if (known != null && known.member().incarnation() > member.incarnation()) {
+      return false;
+    }
+    entries.put(member.instance().name(), new Entry(member, nowNanoseconds));
+    return known == null || known.member().incarnation() < member.incarnation();
+  }
+
+  /** Forgets instances that were silent too long and returns them. */
+  public List<Member> expire(long nowNanoseconds) {
+    List<Member> silent = new ArrayList<>();
+    entries
+        .values()
+        .removeIf(
+            entry -> {
+              boolean expired = nowNanoseconds - entry.heardNanoseconds() > silenceNanoseconds;
+              if (expired) {
+                silent.add(entry.member());
+              }
+              return expired;
+            });
+    return silent;
+  }
+
+  /** Returns the instances heard of lately, by name. */
+  public List<Member> members() {
+    return entries.values().stream()
+        .map(Entry::member)
+        .sorted(Comparator.comparing(member -> member.instance().name()))
+        .toList();
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/steering/RouteFinder.java
@@ -0,0 +1,31 @@
+package org.corianderweir.logic.steering;
+
+import java.util.Comparator;
+import java.util.List;
+import org.corianderweir.model.configuration.Selector;
+
+/** Finds the selector of a request: the one with the longest matching path prefix. Immutable. */
+public final class RouteFinder {
+  private final List<Selector> longestPrefixFirst;
+
+  /** Creates a finder over the selectors in force. */
+  public RouteFinder(List<Selector> selectors) {
+    longestPrefixFirst =
+        selectors.stream()
+            .sorted(
+                Comparator.comparingInt((Selector selector) -> selector.pathPrefix().length())
+                    .reversed()
+                    .thenComparing(Selector::name))
+            .toList();
+  }
+
+  /** Returns the selector of a path. */
+  public RouteDecision find(String path) {
+    for (Selector selector : longestPrefixFirst) {
+      if (path.startsWith(selector.pathPrefix())) {
+        return new RouteDecision.Found(selector);
+      }
+    }
+    return new RouteDecision.NotFound();
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/model/configuration/AvailabilityZone.java
@@ -0,0 +1,17 @@
+package org.corianderweir.model.configuration;
+
+import java.util.List;
+
+/**
+ * An availability zone and the region that it is part of.
+ *
+ * @param name unique name
+ * @param region name of the region
+ * @param labels labels that operators attached to the zone
+ */
+public record AvailabilityZone(String name, String region, List<Label> labels) {
+  /** Copies the list. */
+  public AvailabilityZone {
+    labels = List.copyOf(labels);
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/model/configuration/BackendServer.java
@@ -0,0 +1,38 @@
+package org.corianderweir.model.configuration;
+
+import java.util.List;
+
+/**
+ * A backend server that requests can be sent to.
+ *
+ * @param name unique name
+ * @param service service that it runs
+ * @param availabilityZone name of its availability zone
+ * @param host IP address
+ * @param port TCP port
+ * @param slots requests that it runs at the same time
+ * @param connectionLimit connections that it accepts from all entry instances together
+ * @param drained whether it is leaving and gets no new requests
+ * @param labels labels that operators attached to the server
+ */
+public record BackendServer(
+    String name,
+    String service,
+    String availabilityZone,
+    String host,
+    int port,
+    int slots,
+    int connectionLimit,
+    boolean drained,
+    List<Label> labels) {
+  /** Copies the list. */
+  public BackendServer {
+    labels = List.copyOf(labels);
+  }
+
+  /** Returns this server with another drain state. */
+  public BackendServer withDrained(boolean newDrained) {
+    return new BackendServer(
+        name, service, availabilityZone, host, port, slots, connectionLimit, newDrained, labels);
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/model/configuration/Configuration.java
@@ -0,0 +1,144 @@
+package org.corianderweir.model.configuration;
+
+import java.util.List;
+
+/**
+ * Everything that operators decide, as one immutable value. Revisions grow by one with each
+ * accepted change.
+ *
+ * @param revision number of the change that made this configuration
+ * @param operation identifier of that change, so that a lost answer can be resolved by a read
+ * @param regions regions
+ * @param links links between regions
+ * @param zones availability zones
+ * @param organisations organisations
+ * @param keys keys in force
+ * @param backendServers backend servers
+ * @param selectors selectors
+ */
+public record Configuration(
+    long revision,
+    String operation,
+    List<Region> regions,
+    List<Link> links,
+    List<AvailabilityZone> zones,
+    List<Organisation> organisations,
+    List<AccessKey> keys,
+    List<BackendServer> backendServers,
+    List<Selector> selectors) {
+  /** The configuration before the first change. */
+  public static final Configuration EMPTY = builder().build();
+
+  /** Copies the lists. */
+  public Configuration {
+    regions = List.copyOf(regions);
+    links = List.copyOf(links);
+    zones = List.copyOf(zones);
+    organisations = List.copyOf(organisations);
+    keys = List.copyOf(keys);
+    backendServers = List.copyOf(backendServers);
+    selectors = List.copyOf(selectors);
+  }
+
+  /** Returns a builder of an empty configuration at revision zero. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Returns a builder that starts from this configuration. */
+  public Builder toBuilder() {
+    return new Builder()
+        .revision(revision)
+        .operation(operation)
+        .regions(regions)
+        .links(links)
+        .zones(zones)
+        .organisations(organisations)
+        .keys(keys)
+        .backendServers(backendServers)
+        .selectors(selectors);
+  }
+
+  /** Collects the parts of a configuration. */
+  public static final class Builder {
+    private long revision;
+    private String operation = "";
+    private List<Region> regions = List.of();
+    private List<Link> links = List.of();
+    private List<AvailabilityZone> zones = List.of();
+    private List<Organisation> organisations = List.of();
+    private List<AccessKey> keys = List.of();
+    private List<BackendServer> backendServers = List.of();
+    private List<Selector> selectors = List.of();
+
+    private Builder() {}
+
+    /** Sets the revision. */
+    public Builder revision(long value) {
+      revision = value;
+      return this;
+    }
+
+    /** Sets the identifier of the change. */
+    public Builder operation(String value) {
+      operation = value;
+      return this;
+    }
+
+    /** Sets the regions. */
+    public Builder regions(List<Region> value) {
+      regions = value;
+      return this;
+    }
+
+    /** Sets the links between regions. */
+    public Builder links(List<Link> value) {
+      links = value;
+      return this;
+    }
+
+    /** Sets the availability zones. */
+    public Builder zones(List<AvailabilityZone> value) {
+      zones = value;
+      return this;
+    }
+
+    /** Sets the organisations. */
+    public Builder organisations(List<Organisation> value) {
+      organisations = value;
+      return this;
+    }
+
+    /** Sets the keys. */
+    public Builder keys(List<AccessKey> value) {
+      keys = value;
+      return this;
+    }
+
+    /** Sets the backend servers. */
+    public Builder backendServers(List<BackendServer> value) {
+      backendServers = value;
+      return this;
+    }
+
+    /** Sets the selectors. */
+    public Builder selectors(List<Selector> value) {
+      selectors = value;
+      return this;
+    }
+
+    /** Builds the configuration. */
+    public Configuration build() {
+      return new Configuration(
+          revision,
+          operation,
+          regions,
+          links,
+          zones,
+          organisations,
+          keys,
+          backendServers,
+          selectors);
+    }
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/model/request/RefusalReason.java
@@ -0,0 +1,54 @@
+package org.corianderweir.model.request;
+
+/** The reasons for which an entry instance answers a request itself. */
+public enum RefusalReason {
+  /** The route needs a key, and none was shown. */
+  KEY_MISSING(401, Execution.NOT_RUN),
+  /** The key is unknown, withdrawn or wrong. */
+  KEY_REJECTED(401, Execution.NOT_RUN),
+  /** The instance can't confirm that keys are still in force. */
+  KEYS_STALE(503, Execution.NOT_RUN),
+  /** No selector covers the request. */
+  NO_ROUTE(404, Execution.NOT_RUN),
+  /** The organisation may not use the route. */
+  ROUTE_FORBIDDEN(403, Execution.NOT_RUN),
+  /** The organisation is over its rate and burst. */
+  RATE_EXCEEDED(429, Execution.NOT_RUN),
+  /** No backend server can take the request within its deadline. */
+  NO_CAPACITY(503, Execution.NOT_RUN),
+  /** The request was malformed. */
+  REQUEST_INVALID(400, Execution.NOT_RUN),
+  /** The request's body is above the limit. */
+  BODY_TOO_LARGE(413, Execution.NOT_RUN),
+  /** The instance has no configuration yet or is shutting down. */
+  NOT_SERVING(503, Execution.NOT_RUN),
+  /** No connection to a backend server could be opened. */
+  BACKEND_UNREACHABLE(502, Execution.NOT_RUN),
+  /** The backend server's answer did not arrive whole. */
+  ANSWER_LOST(502, Execution.UNKNOWN),
+  /** The deadline passed while a backend server had the request. */
+  DEADLINE_EXCEEDED(504, Execution.UNKNOWN);
+
+  private final int status;
+  private final Execution execution;
+
+  RefusalReason(int status, Execution execution) {
+    this.status = status;
+    this.execution = execution;
+  }
+
+  /** Returns the HTTP status. */
+  public int status() {
+    return status;
+  }
+
+  /** Returns whether the request may have run. */
+  public Execution execution() {
+    return execution;
+  }
+
+  /** Returns the code that callers see: the name in lower case with hyphens. */
+  public String code() {
+    return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
@@ -0,0 +1,64 @@
+package org.corianderweir.model.timeline;
+
+/** The catalogue of events. Numbers are never reused; docs/EVENTS.md lists them for operators. */
+public enum EventCode {
+  /** The daemon has started its services. */
+  INSTANCE_STARTED(1001, Severity.INFO, "Entry instance started"),
+  /** A planned stop has begun. */
+  INSTANCE_LEAVING(1002, Severity.INFO, "Entry instance is leaving"),
+  /** The daemon has ended its requests and stops. */
+  INSTANCE_STOPPED(1003, Severity.INFO, "Entry instance stopped"),
+  /** The settings file is invalid. */
+  SETTINGS_INVALID(1004, Severity.ERROR, "Settings are invalid"),
+  /** A task of the control thread failed. */
+  CONTROL_TASK_FAILED(1005, Severity.ERROR, "Control task failed"),
+  /** A configuration revision is in force here. */
+  CONFIGURATION_IN_FORCE(2001, Severity.INFO, "Configuration revision in force"),
+  /** An operator's change was accepted. */
+  CONFIGURATION_ACCEPTED(2002, Severity.INFO, "Configuration change accepted"),
+  /** An operator's change was refused. */
+  CONFIGURATION_REFUSED(2003, Severity.WARNING, "Configuration change refused"),
+  /** The platform's service can't be reached. */
+  PLATFORM_LOST(2101, Severity.WARNING, "Platform service lost"),
+  /** The platform's service answers again. */
+  PLATFORM_FOUND(2102, Severity.INFO, "Platform service found"),
+  /** Another entry instance became reachable. */
+  PEER_ALIVE(3001, Severity.INFO, "Entry instance alive"),
+  /** Another entry instance is silent. */
+  PEER_SILENT(3002, Severity.WARNING, "Entry instance silent"),
+  /** A frame from another process was refused and its connection closed. */
+  PEER_FRAME_REFUSED(3003, Severity.WARNING, "Peer frame refused"),
+  /** A request was refused by this entry instance. */
+  REQUEST_REFUSED(4001, Severity.DEBUG, "Request refused"),
+  /** A request was sent to a backend server. */
+  REQUEST_SENT(4002, Severity.DEBUG, "Request sent to backend server"),
+  /** A request was answered by a backend server. */
+  REQUEST_ANSWERED(4003, Severity.DEBUG, "Request answered"),
+  /** A request's outcome is not known. */
+  REQUEST_UNKNOWN(4004, Severity.WARNING, "Request outcome unknown");
+
+  private final int number;
+  private final Severity severity;
+  private final String title;
+
+  EventCode(int number, Severity severity, String title) {
+    this.number = number;
+    this.severity = severity;
+    this.title = title;
+  }
+
+  /** Returns the number of the event. */
+  public int number() {
+    return number;
+  }
+
+  /** Returns how serious the event is. */
+  public Severity severity() {
+    return severity;
+  }
+
+  /** Returns a short English title. */
+  public String title() {
+    return title;
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/model/topology/EntryInstance.java
@@ -0,0 +1,21 @@
+package org.corianderweir.model.topology;
+
+/**
+ * An entry instance: where it stands and on which addresses it listens.
+ *
+ * @param name unique name
+ * @param region name of its region
+ * @param availabilityZone name of its availability zone
+ * @param host IP address of all its interfaces
+ * @param callerPort TCP port for callers
+ * @param operatorPort TCP port for operators
+ * @param peerPort TCP port for the other entry instances
+ */
+public record EntryInstance(
+    String name,
+    String region,
+    String availabilityZone,
+    String host,
+    int callerPort,
+    int operatorPort,
+    int peerPort) {}
--- /dev/null
+++ b/weirlib/src/test/java/org/corianderweir/architecture/LayersTest.java
@@ -0,0 +1,38 @@
+package org.corianderweir.architecture;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.testng.annotations.Test;
+
+/** Holds the layers of the library: nothing depends upwards. */
+public class LayersTest {
+  @Test
+  public void layersDependDownwardsOnly() {
+    JavaClasses classes =
+        new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("org.corianderweir");
+    layeredArchitecture()
+        .consideringOnlyDependenciesInLayers()
+        .layer("model")
+        .definedBy("org.corianderweir.model..")
+        .layer("logic")
+        .definedBy("org.corianderweir.logic..")
+        .layer("kernel")
+        .definedBy("org.corianderweir.kernel..")
+        .layer("protocol")
+        .definedBy("org.corianderweir.protocol..")
+        .whereLayer("model")
+        .mayNotAccessAnyLayer()
+        .whereLayer("logic")
+        .mayOnlyAccessLayers("model")
+        .whereLayer("kernel")
+        .mayOnlyAccessLayers("model")
+        .whereLayer("protocol")
+        .mayOnlyAccessLayers("model", "logic")
+        .check(classes);
+  }
+}
--- /dev/null
+++ b/weirlib/src/test/java/org/corianderweir/architecture/package-info.java
@@ -0,0 +1,2 @@
+/** Rules that hold for the whole library. */
+package org.corianderweir.architecture;
