Check all settings of the daemon against declarations

Cause: the first reader only knew missing texts and ports; unknown names and repeated values passed. The log is one line an event.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -56,7 +56,7 @@
             self, platform, control.loop(), events, configuration, transport, time);
     LimitService limits = new LimitService(configuration);
     TrafficService traffic =
-        new TrafficService(self, configuration, membership, limits, events, metrics, time);
+        new TrafficService(settings, configuration, membership, limits, events, metrics, time);
     OperatorService operators =
         new OperatorService(
             settings, configuration, membership, events, metrics, stopRequested::countDown);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/DaemonMain.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/DaemonMain.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.ParameterException;
 import java.io.File;
 import org.corianderweir.daemon.settings.DaemonSettings;
+import org.corianderweir.daemon.settings.SettingsDescription;
 import org.corianderweir.daemon.settings.SettingsReader;
 import org.corianderweir.model.WeirException;
 
@@ -12,12 +13,15 @@
 public final class DaemonMain {
   private static final int EXIT_USAGE = 2;
 
-  @Parameter(names = "--settings", description = "settings file (INI)", required = true)
+  @Parameter(names = "--settings", description = "settings file (INI)")
   private String settingsFile = "";
 
   @Parameter(names = "--check", description = "only check the settings")
   private boolean checkOnly;
 
+  @Parameter(names = "--describe-settings", description = "list all settings and end")
+  private boolean describeSettings;
+
   @Parameter(names = "--help", description = "show this text", help = true)
   private boolean help;
 
@@ -37,11 +41,16 @@
         commander.usage();
         return 0;
       }
+      if (describeSettings) {
+        SettingsDescription.rows().forEach(System.out::println);
+        return 0;
+      }
       DaemonSettings settings = SettingsReader.read(new File(settingsFile));
       if (checkOnly) {
         System.out.println("settings are valid: " + settingsFile);
         return 0;
       }
+      LogSetup.configure();
       Daemon daemon = new Daemon(settings, new SystemTimeSource());
       daemon.run();
       return 0;
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/settings/DaemonSettings.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/settings/DaemonSettings.java
@@ -1,5 +1,6 @@
 package org.corianderweir.daemon.settings;
 
+import java.time.Duration;
 import org.corianderweir.http.HttpAddress;
 import org.corianderweir.model.topology.EntryInstance;
 
@@ -10,6 +11,13 @@
  * @param platform address of the platform's service
  * @param operatorCredential secret that operators show
  * @param peerSecret secret that entry instances prove to each other
+ * @param lookupLifetime how long callers may cache a look-up answer
+ * @param bodyLimitBytes largest body of a caller's request
  */
 public record DaemonSettings(
-    EntryInstance instance, HttpAddress platform, String operatorCredential, String peerSecret) {}
+    EntryInstance instance,
+    HttpAddress platform,
+    String operatorCredential,
+    String peerSecret,
+    Duration lookupLifetime,
+    int bodyLimitBytes) {}
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/settings/SettingsDescription.java
@@ -0,0 +1,23 @@
+package org.corianderweir.daemon.settings;
+
+import java.util.List;
+
+/** Describes the settings as rows of a Markdown table. */
+public final class SettingsDescription {
+  private SettingsDescription() {}
+
+  /** Returns a row for each setting. */
+  public static List<String> rows() {
+    return DaemonSettingDeclarations.all().stream().map(SettingsDescription::row).toList();
+  }
+
+  private static String row(Setting<?> setting) {
+    return "| `[%s] %s` | %s | %s | %s |"
+        .formatted(
+            setting.section(),
+            setting.name(),
+            setting.kind().allowed(),
+            setting.fallback().map(text -> "`" + text + "`").orElse("must be given"),
+            setting.description());
+  }
+}
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/settings/SettingsReader.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/settings/SettingsReader.java
@@ -4,17 +4,20 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.corianderweir.http.HttpAddress;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
 import org.corianderweir.model.topology.EntryInstance;
 import org.ini4j.Ini;
+import org.ini4j.Profile;
 
-/** Reads a settings file and reports every mistake in it, one line each. */
+/**
+ * Reads a settings file and reports every mistake in it, one line each: the file, the section, the
+ * name, what was read, and what is allowed. Secrets that are wrong are not repeated.
+ */
 public final class SettingsReader {
-  private static final int PORT_MAXIMUM = 65_535;
-
   private final File file;
   private final Ini ini;
   private final List<String> problems = new ArrayList<>();
@@ -32,54 +35,88 @@
   public static DaemonSettings read(File file) {
     try {
       SettingsReader reader = new SettingsReader(file, new Ini(file));
-      DaemonSettings settings = reader.settings();
-      if (!reader.problems.isEmpty()) {
-        throw new WeirException(
-            ErrorCode.SETTINGS_INVALID, String.join(System.lineSeparator(), reader.problems));
-      }
-      return settings;
+      return reader.settings();
     } catch (IOException failure) {
-      throw new WeirException(ErrorCode.SETTINGS_INVALID, file + ": can't be read", failure);
+      throw new WeirException(
+          ErrorCode.SETTINGS_INVALID, file + ": can't be read: " + failure.getMessage(), failure);
     }
   }
 
   private DaemonSettings settings() {
+    reportUnknown();
+    DaemonSettingDeclarations.all().forEach(this::text);
+    if (!problems.isEmpty()) {
+      throw new WeirException(
+          ErrorCode.SETTINGS_INVALID, String.join(System.lineSeparator(), problems));
+    }
     EntryInstance instance =
         new EntryInstance(
-            text("instance", "name"),
-            text("instance", "region"),
-            text("instance", "availability-zone"),
-            text("instance", "host"),
-            port("callers", "port"),
-            port("operators", "port"),
-            port("peers", "port"));
+            value(DaemonSettingDeclarations.INSTANCE_NAME),
+            value(DaemonSettingDeclarations.REGION),
+            value(DaemonSettingDeclarations.AVAILABILITY_ZONE),
+            value(DaemonSettingDeclarations.HOST),
+            value(DaemonSettingDeclarations.CALLER_PORT),
+            value(DaemonSettingDeclarations.OPERATOR_PORT),
+            value(DaemonSettingDeclarations.PEER_PORT));
+    HttpAddress platform =
+        new HttpAddress(
+            value(DaemonSettingDeclarations.PLATFORM_HOST),
+            value(DaemonSettingDeclarations.PLATFORM_PORT));
     return new DaemonSettings(
         instance,
-        new HttpAddress(text("platform", "host"), port("platform", "port")),
-        text("operators", "credential"),
-        text("peers", "secret"));
+        platform,
+        value(DaemonSettingDeclarations.OPERATOR_CREDENTIAL),
+        value(DaemonSettingDeclarations.PEER_SECRET),
+        value(DaemonSettingDeclarations.LOOKUP_LIFETIME),
+        value(DaemonSettingDeclarations.BODY_LIMIT_BYTES));
   }
 
-  private String text(String section, String name) {
-    Optional<String> value = Optional.ofNullable(ini.get(section, name));
-    if (value.isEmpty() || value.get().isBlank()) {
-      problems.add(file + ": [" + section + "] " + name + ": missing; allowed: any text");
+  private void reportUnknown() {
+    for (Map.Entry<String, Profile.Section> entry : ini.entrySet()) {
+      if (DaemonSettingDeclarations.all().stream()
+          .noneMatch(setting -> setting.section().equals(entry.getKey()))) {
+        problems.add(file + ": [" + entry.getKey() + "]: unknown section");
+        continue;
+      }
+      for (String name : entry.getValue().keySet()) {
+        if (DaemonSettingDeclarations.all().stream()
+            .noneMatch(
+                setting ->
+                    setting.section().equals(entry.getKey()) && setting.name().equals(name))) {
+          problems.add(file + ": [" + entry.getKey() + "] " + name + ": unknown name");
+        }
+      }
     }
-    return value.orElse("");
   }
 
-  private int port(String section, String name) {
-    String value = text(section, name);
-    try {
-      int port = Integer.parseInt(value);
-      if (port > 0 && port <= PORT_MAXIMUM) {
-        return port;
-      }
-    } catch (NumberFormatException notANumber) {
-      // Reported below together with numbers out of range.
+  private Optional<String> text(Setting<?> setting) {
+    Profile.Section section = ini.get(setting.section());
+    List<String> given =
+        section == null || !section.containsKey(setting.name())
+            ? List.of()
+            : section.getAll(setting.name());
+    if (given.size() > 1) {
+      report(setting, "given " + given.size() + " times");
+      return Optional.empty();
+    }
+    Optional<String> text = given.stream().findFirst().or(setting::fallback);
+    if (text.isEmpty()) {
+      report(setting, "missing");
+    } else if (setting.kind().parse(text.get()).isEmpty()) {
+      boolean secret = setting.kind() instanceof ValueKind.Secret;
+      report(setting, secret ? "read a text that is too short" : "read '" + text.get() + "'");
     }
+    return text;
+  }
+
+  private void report(Setting<?> setting, String what) {
     problems.add(
-        file + ": [" + section + "] " + name + ": read '" + value + "'; allowed: 1 to 65535");
-    return 0;
+        "%s: [%s] %s: %s; allowed: %s"
+            .formatted(file, setting.section(), setting.name(), what, setting.kind().allowed()));
+  }
+
+  /** Returns a value that was found valid before. */
+  private <T> T value(Setting<T> setting) {
+    return text(setting).flatMap(setting.kind()::parse).orElseThrow();
   }
 }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
@@ -8,6 +8,7 @@
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.daemon.control.LimitService;
 import org.corianderweir.daemon.control.MembershipService;
+import org.corianderweir.daemon.settings.DaemonSettings;
 import org.corianderweir.http.HttpCall;
 import org.corianderweir.http.HttpClient;
 import org.corianderweir.http.HttpClientOptions;
@@ -35,17 +36,16 @@
   /** The path of look-ups. */
   public static final String LOOKUP_PATH = "/.weir/look-up";
 
-  private static final int BODY_LIMIT_BYTES = 1024 * 1024;
   private static final int ANSWER_LIMIT_BYTES = 8 * 1024 * 1024;
   private static final int WORKER_THREADS = 4;
   private static final int STATUS_OK = 200;
-  private static final Duration LOOKUP_LIFETIME = Duration.ofSeconds(2);
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration IDLE_LIFETIME = Duration.ofSeconds(30);
   private static final Duration STOP_POLL_PERIOD = Duration.ofMillis(20);
   private static final Duration STOP_LIMIT = Duration.ofSeconds(65);
 
   private final EntryInstance self;
+  private final Duration lookupLifetime;
   private final ConfigurationService configuration;
   private final MembershipService membership;
   private final TimeSource time;
@@ -56,14 +56,15 @@
 
   /** Creates the service; it does not listen yet. */
   public TrafficService(
-      EntryInstance self,
+      DaemonSettings settings,
       ConfigurationService configuration,
       MembershipService membership,
       LimitService limits,
       EventLog events,
       MetricRegistry metrics,
       TimeSource time) {
-    this.self = self;
+    this.self = settings.instance();
+    this.lookupLifetime = settings.lookupLifetime();
     this.configuration = configuration;
     this.membership = membership;
     this.time = time;
@@ -74,7 +75,11 @@
     listener =
         new HttpListener(
             new HttpListenerOptions(
-                "callers", self.host(), self.callerPort(), BODY_LIMIT_BYTES, WORKER_THREADS),
+                "callers",
+                self.host(),
+                self.callerPort(),
+                settings.bodyLimitBytes(),
+                WORKER_THREADS),
             this::answer);
   }
 
@@ -93,7 +98,7 @@
   /** Ends after the look-up answers given have expired and all requests have been answered. */
   @Override
   public void stop() {
-    long lookupsExpired = time.monotonicNanoseconds() + LOOKUP_LIFETIME.toNanos();
+    long lookupsExpired = time.monotonicNanoseconds() + lookupLifetime.toNanos();
     long limit = time.monotonicNanoseconds() + STOP_LIMIT.toNanos();
     while (time.monotonicNanoseconds() < lookupsExpired
         || (pipeline.requestsInFlight() > 0 && time.monotonicNanoseconds() < limit)) {
@@ -132,7 +137,7 @@
             .orElse(self.region());
     LookupAnswer answer =
         EntrySelector.select(
-            membership.members(), call.parameter("client", ""), zone, region, LOOKUP_LIFETIME);
+            membership.members(), call.parameter("client", ""), zone, region, lookupLifetime);
     return HttpReply.json(STATUS_OK, Json.write(answer));
   }
 }
