Steer client blocks to sites by longest prefix

Cause: look-ups knew a client's zone only when the client named it. Weighed: a trie (pointers, over 40 bytes a block), flattened disjoint ranges (cheap search, but up to twice the entries and the prefixes are still needed for changes), and sorted prefixes with a link to the enclosing prefix, which was taken. The time of a look-up has not been measured yet (machine busy with other work).

--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -10,7 +10,11 @@
 import java.util.concurrent.CountDownLatch;
 import org.corianderweir.bench.backend.BackendStandIn;
 import org.corianderweir.bench.demo.Demonstration;
+import org.corianderweir.bench.lookup.LookupExperiment;
 import org.corianderweir.bench.platform.PlatformStandIn;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
 
 /** The program {@code weirbench}: stand-ins and experiments, each a command. */
 public final class BenchMain {
@@ -78,13 +82,46 @@
     }
   }
 
+  /** Measures the look-up table. */
+  private static final class LookupCommand implements Command {
+    @Parameter(names = "--blocks", description = "number of client blocks")
+    private int blocks = 2_500_000;
+
+    @Parameter(names = "--seed", description = "seed of the generated blocks")
+    private long seed = 1;
+
+    @Override
+    public int run() throws InterruptedException {
+      return new LookupExperiment(blocks, seed, System.out).run();
+    }
+  }
+
+  /** Runs the JMH benchmarks whose names match. */
+  private static final class BenchmarkCommand implements Command {
+    @Parameter(names = "--include", description = "regular expression of benchmark names")
+    private String include = ".*";
+
+    @Override
+    public int run() {
+      try {
+        new Runner(new OptionsBuilder().include(include).addProfiler("gc").build()).run();
+        return 0;
+      } catch (RunnerException failure) {
+        System.err.println(failure.getMessage());
+        return 1;
+      }
+    }
+  }
+
   /** Runs the command that the arguments name. */
   public static void main(String[] arguments) throws InterruptedException {
     Map<String, Command> commands =
         Map.of(
             "platform", new PlatformCommand(),
             "backend", new BackendCommand(),
-            "demo", new DemoCommand());
+            "demo", new DemoCommand(),
+            "look-up", new LookupCommand(),
+            "benchmark", new BenchmarkCommand());
     JCommander commander = JCommander.newBuilder().programName("weirbench").build();
     commands.forEach(commander::addCommand);
     try {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.corianderweir.daemon.control.ConfigurationService;
 import org.corianderweir.daemon.control.EventLog;
@@ -20,6 +21,8 @@
 import org.corianderweir.kernel.ServiceName;
 import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.lookup.EntrySelector;
+import org.corianderweir.logic.lookup.LookupDirectory;
+import org.corianderweir.model.configuration.AvailabilityZone;
 import org.corianderweir.model.configuration.Configuration;
 import org.corianderweir.model.request.LookupAnswer;
 import org.corianderweir.model.request.RefusalReason;
@@ -52,6 +55,7 @@
   private final HttpClient client;
   private final HttpListener listener;
   private final RequestPipeline pipeline;
+  private volatile LookupDirectory lookups = LookupDirectory.EMPTY;
   private volatile TrafficSnapshot snapshot = TrafficSnapshot.of(Configuration.EMPTY);
 
   /** Creates the service; it does not listen yet. */
@@ -90,7 +94,7 @@
 
   @Override
   public void start(ServiceDirectory directory) {
-    configuration.onChange(changed -> snapshot = TrafficSnapshot.of(changed));
+    configuration.onChange(this::adopt);
     client.start();
     listener.start();
   }
@@ -116,6 +120,11 @@
     }
   }
 
+  private void adopt(Configuration changed) {
+    lookups = lookups.updated(changed);
+    snapshot = TrafficSnapshot.of(changed);
+  }
+
   private CompletableFuture<HttpReply> answer(HttpCall call) {
     if (membership.state() == InstanceState.JOINING) {
       return CompletableFuture.completedFuture(
@@ -128,16 +137,15 @@
   }
 
   private HttpReply lookup(HttpCall call) {
-    String zone = call.parameter("availability-zone", self.availabilityZone());
-    String region =
-        snapshot.configuration().zones().stream()
-            .filter(known -> known.name().equals(zone))
-            .map(known -> known.region())
-            .findFirst()
-            .orElse(self.region());
+    String client = call.parameter("client", "");
+    Optional<AvailabilityZone> zone = lookups.zoneOf(client);
     LookupAnswer answer =
         EntrySelector.select(
-            membership.members(), call.parameter("client", ""), zone, region, lookupLifetime);
+            membership.members(),
+            client,
+            zone.map(AvailabilityZone::name).orElse(self.availabilityZone()),
+            zone.map(AvailabilityZone::region).orElse(self.region()),
+            lookupLifetime);
     return HttpReply.json(STATUS_OK, Json.write(answer));
   }
 }
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/lookup/ClientBlockPacking.java
@@ -0,0 +1,122 @@
+package org.corianderweir.logic.lookup;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.Comparator;
+import java.util.List;
+import org.corianderweir.model.ErrorCode;
+import org.corianderweir.model.WeirException;
+
+/**
+ * Packs the client blocks of one first octet as text: sorted, each address as the difference to the
+ * one before, in units of the prefix, each number in groups of seven bits, then Base64.
+ */
+public final class ClientBlockPacking {
+  private static final int GROUP_BITS = 7;
+  private static final int GROUP_MASK = 0x7f;
+  private static final int MORE = 0x80;
+  private static final int ADDRESS_BITS = 32;
+  private static final int OCTET_SHIFT = 24;
+
+  private ClientBlockPacking() {}
+
+  /** Packs blocks that share their first octet. */
+  public static String pack(List<ClientBlock> blocks) {
+    List<ClientBlock> sorted = new ArrayList<>(blocks);
+    sorted.sort(
+        Comparator.comparingInt((ClientBlock block) -> block.address() ^ Integer.MIN_VALUE)
+            .thenComparingInt(ClientBlock::prefixLength));
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    long previous = 0;
+    for (ClientBlock block : sorted) {
+      long address = Integer.toUnsignedLong(block.address());
+      bytes.write(block.prefixLength());
+      int shift = ADDRESS_BITS - block.prefixLength();
+      writeNumber(bytes, (address >>> shift) - (previous >>> shift));
+      writeNumber(bytes, block.site());
+      previous = address;
+    }
+    return Base64.getEncoder().encodeToString(bytes.toByteArray());
+  }
+
+  /**
+   * Reads packed blocks.
+   *
+   * @param firstOctet first octet that all of them must have
+   * @throws WeirException with code {@code CONFIGURATION_INVALID}
+   */
+  public static List<ClientBlock> unpack(int firstOctet, String packed) {
+    Reader reader = new Reader(decode(packed));
+    List<ClientBlock> blocks = new ArrayList<>();
+    long previous = 0;
+    while (reader.hasNext()) {
+      int prefixLength = reader.readByte();
+      if (prefixLength < Byte.SIZE || prefixLength > ADDRESS_BITS) {
+        throw invalid("prefix length " + prefixLength);
+      }
+      int shift = ADDRESS_BITS - prefixLength;
+      long address = (previous >>> shift) + reader.readNumber() << shift;
+      if (address >>> OCTET_SHIFT != firstOctet) {
+        throw invalid("an address outside its octet");
+      }
+      blocks.add(new ClientBlock((int) address, prefixLength, (int) reader.readNumber()));
+      previous = address;
+    }
+    return blocks;
+  }
+
+  private static byte[] decode(String packed) {
+    try {
+      return Base64.getDecoder().decode(packed);
+    } catch (IllegalArgumentException notBase64) {
+      throw invalid("not Base64");
+    }
+  }
+
+  private static void writeNumber(ByteArrayOutputStream bytes, long number) {
+    long rest = number;
+    while (rest > GROUP_MASK) {
+      bytes.write((int) (rest & GROUP_MASK) | MORE);
+      rest >>>= GROUP_BITS;
+    }
+    bytes.write((int) rest);
+  }
+
+  private static WeirException invalid(String message) {
+    return new WeirException(ErrorCode.CONFIGURATION_INVALID, "packed client blocks: " + message);
+  }
+
+  /** Reads bytes and numbers in order. */
+  private static final class Reader {
+    private final byte[] bytes;
+    private int position;
+
+    Reader(byte[] bytes) {
+      this.bytes = bytes;
+    }
+
+    boolean hasNext() {
+      return position < bytes.length;
+    }
+
+    int readByte() {
+      if (!hasNext()) {
+        throw invalid("truncated");
+      }
+      return Byte.toUnsignedInt(bytes[position++]);
+    }
+
+    long readNumber() {
+      long number = 0;
+      for (int shift = 0; shift <= ADDRESS_BITS; shift += GROUP_BITS) {
+        int group = readByte();
+        number |= (long) (group & GROUP_MASK) << shift;
+        if ((group & MORE) == 0) {
+          return number;
+        }
+      }
+      throw invalid("a number is too long");
+    }
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/lookup/ClientBlockShard.java
@@ -0,0 +1,84 @@
+package org.corianderweir.logic.lookup;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * The client blocks of one first octet, in arrays sorted by address and prefix length. Each block
+ * knows the smallest block that encloses it, so that the longest prefix of an address is found by a
+ * binary search and a short climb. Eleven bytes a block. Immutable.
+ */
+final class ClientBlockShard {
+  static final ClientBlockShard EMPTY = new ClientBlockShard(List.of());
+
+  private static final int NONE = -1;
+  private static final int SITE_MASK = 0xffff;
+
+  private final int[] addresses;
+  private final byte[] prefixLengths;
+  private final short[] sites;
+  private final int[] enclosing;
+
+  /** Creates a shard of blocks with distinct prefixes, in any order. */
+  ClientBlockShard(List<ClientBlock> unsorted) {
+    List<ClientBlock> blocks = new ArrayList<>(unsorted);
+    blocks.sort(
+        Comparator.comparingInt((ClientBlock block) -> block.address() ^ Integer.MIN_VALUE)
+            .thenComparingInt(ClientBlock::prefixLength));
+    int size = blocks.size();
+    addresses = new int[size];
+    prefixLengths = new byte[size];
+    sites = new short[size];
+    enclosing = new int[size];
+    for (int index = 0; index < size; index++) {
+      ClientBlock block = blocks.get(index);
+      addresses[index] = block.address();
+      prefixLengths[index] = (byte) block.prefixLength();
+      sites[index] = (short) block.site();
+      enclosing[index] = climb(index - 1, block.address());
+    }
+  }
+
+  /** Returns the site of the longest prefix that contains an address, or -1. */
+  int siteOf(int address) {
+    int found = climb(lastAtOrBefore(address), address);
+    return found == NONE ? NONE : sites[found] & SITE_MASK;
+  }
+
+  int size() {
+    return addresses.length;
+  }
+
+  List<ClientBlock> blocks() {
+    List<ClientBlock> blocks = new ArrayList<>(addresses.length);
+    for (int index = 0; index < addresses.length; index++) {
+      blocks.add(new ClientBlock(addresses[index], prefixLengths[index], sites[index] & SITE_MASK));
+    }
+    return blocks;
+  }
+
+  /** Climbs from a block to the first one that contains the address. */
+  private int climb(int start, int address) {
+    int index = start;
+    while (index != NONE
+        && (address & ClientBlock.mask(prefixLengths[index])) != addresses[index]) {
+      index = enclosing[index];
+    }
+    return index;
+  }
+
+  private int lastAtOrBefore(int address) {
+    int low = 0;
+    int high = addresses.length - 1;
+    while (low <= high) {
+      int middle = low + high >>> 1;
+      if (Integer.compareUnsigned(addresses[middle], address) <= 0) {
+        low = middle + 1;
+      } else {
+        high = middle - 1;
+      }
+    }
+    return high;
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/lookup/ClientBlockTable.java
@@ -0,0 +1,106 @@
+package org.corianderweir.logic.lookup;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+
+/**
+ * Finds the site of a client's address by the longest prefix. The blocks are held in one shard for
+ * each first octet; blocks shorter than an octet are held apart. Immutable: a change returns a
+ * table that shares all shards but those it concerns.
+ */
+public final class ClientBlockTable {
+  /** A table without blocks. */
+  public static final ClientBlockTable EMPTY = new ClientBlockTable(emptyShards(), List.of());
+
+  private static final int SHARDS = 256;
+  private static final int SHARD_BITS = 8;
+  private static final int SHARD_SHIFT = 24;
+  private static final int NONE = -1;
+
+  private final ClientBlockShard[] shards;
+  private final ClientBlockShard shortPrefixes;
+
+  /** What tells two blocks apart. */
+  private record Prefix(int address, int prefixLength) {}
+
+  private ClientBlockTable(ClientBlockShard[] shards, List<ClientBlock> shortPrefixes) {
+    this.shards = shards;
+    this.shortPrefixes = new ClientBlockShard(shortPrefixes);
+  }
+
+  /** Returns the number of the site that an address is steered to, if a block contains it. */
+  public OptionalInt siteOf(int address) {
+    int site = siteNumber(address);
+    return site == NONE ? OptionalInt.empty() : OptionalInt.of(site);
+  }
+
+  /** Returns the number of the site that an address is steered to, or -1. */
+  public int siteNumber(int address) {
+    int site = shards[address >>> SHARD_SHIFT].siteOf(address);
+    return site == NONE ? shortPrefixes.siteOf(address) : site;
+  }
+
+  /** Returns the number of blocks. */
+  public int size() {
+    return Arrays.stream(shards).mapToInt(ClientBlockShard::size).sum() + shortPrefixes.size();
+  }
+
+  /**
+   * Returns a table in which the shard of a first octet has other blocks.
+   *
+   * @param firstOctet from 0 to 255
+   * @param blocks the blocks of that octet, with prefixes of at least eight bits
+   */
+  public ClientBlockTable withShard(int firstOctet, List<ClientBlock> blocks) {
+    ClientBlockShard[] changed = shards.clone();
+    changed[firstOctet] = new ClientBlockShard(blocks);
+    return new ClientBlockTable(changed, shortPrefixes.blocks());
+  }
+
+  /** Returns a table with blocks added; a block with a known prefix replaces the old one. */
+  public ClientBlockTable with(List<ClientBlock> added) {
+    Map<Integer, List<ClientBlock>> byShard = new HashMap<>();
+    List<ClientBlock> shortOnes = new ArrayList<>();
+    for (ClientBlock block : added) {
+      if (block.prefixLength() < SHARD_BITS) {
+        shortOnes.add(block);
+      } else {
+        byShard
+            .computeIfAbsent(block.address() >>> SHARD_SHIFT, unused -> new ArrayList<>())
+            .add(block);
+      }
+    }
+    ClientBlockShard[] changed = shards.clone();
+    byShard.forEach(
+        (shard, blocks) ->
+            changed[shard] = new ClientBlockShard(merged(changed[shard].blocks(), blocks)));
+    return new ClientBlockTable(changed, merged(shortPrefixes.blocks(), shortOnes));
+  }
+
+  /** Returns the blocks of a first octet. */
+  public List<ClientBlock> blocks(int firstOctet) {
+    return shards[firstOctet].blocks();
+  }
+
+  /** Returns the blocks with prefixes of less than eight bits. */
+  public List<ClientBlock> shortBlocks() {
+    return shortPrefixes.blocks();
+  }
+
+  private static List<ClientBlock> merged(List<ClientBlock> known, List<ClientBlock> added) {
+    Map<Prefix, ClientBlock> byPrefix = new HashMap<>();
+    known.forEach(block -> byPrefix.put(new Prefix(block.address(), block.prefixLength()), block));
+    added.forEach(block -> byPrefix.put(new Prefix(block.address(), block.prefixLength()), block));
+    return List.copyOf(byPrefix.values());
+  }
+
+  private static ClientBlockShard[] emptyShards() {
+    ClientBlockShard[] empty = new ClientBlockShard[SHARDS];
+    Arrays.fill(empty, ClientBlockShard.EMPTY);
+    return empty;
+  }
+}
--- a/weirlib/src/main/java/org/corianderweir/model/configuration/Configuration.java
+++ b/weirlib/src/main/java/org/corianderweir/model/configuration/Configuration.java
@@ -11,6 +11,8 @@
  * @param regions regions
  * @param links links between regions
  * @param zones availability zones
+ * @param sites sites that client blocks are steered to
+ * @param clientBlocks packed client blocks, at most one chunk for each first octet
  * @param organisations organisations
  * @param keys keys in force
  * @param backendServers backend servers
@@ -22,6 +24,8 @@
     List<Region> regions,
     List<Link> links,
     List<AvailabilityZone> zones,
+    List<Site> sites,
+    List<ClientBlockChunk> clientBlocks,
     List<Organisation> organisations,
     List<AccessKey> keys,
     List<BackendServer> backendServers,
@@ -34,6 +38,8 @@
     regions = List.copyOf(regions);
     links = List.copyOf(links);
     zones = List.copyOf(zones);
+    sites = List.copyOf(sites);
+    clientBlocks = List.copyOf(clientBlocks);
     organisations = List.copyOf(organisations);
     keys = List.copyOf(keys);
     backendServers = List.copyOf(backendServers);
@@ -53,6 +59,8 @@
         .regions(regions)
         .links(links)
         .zones(zones)
+        .sites(sites)
+        .clientBlocks(clientBlocks)
         .organisations(organisations)
         .keys(keys)
         .backendServers(backendServers)
@@ -66,6 +74,8 @@
     private List<Region> regions = List.of();
     private List<Link> links = List.of();
     private List<AvailabilityZone> zones = List.of();
+    private List<Site> sites = List.of();
+    private List<ClientBlockChunk> clientBlocks = List.of();
     private List<Organisation> organisations = List.of();
     private List<AccessKey> keys = List.of();
     private List<BackendServer> backendServers = List.of();
@@ -103,6 +113,18 @@
       return this;
     }
 
+    /** Sets the sites. */
+    public Builder sites(List<Site> value) {
+      sites = value;
+      return this;
+    }
+
+    /** Sets the packed client blocks. */
+    public Builder clientBlocks(List<ClientBlockChunk> value) {
+      clientBlocks = value;
+      return this;
+    }
+
     /** Sets the organisations. */
     public Builder organisations(List<Organisation> value) {
       organisations = value;
@@ -135,6 +157,8 @@
           regions,
           links,
           zones,
+          sites,
+          clientBlocks,
           organisations,
           keys,
           backendServers,
