Authenticate entry instances and bound what a connection can cost

Cause: any process that could open a TCP connection was believed; sends raced to open two connections to one peer, and a peer that didn't read let the queue grow.

Now: a pure handshake (logic.handshake) proves both sides by HMAC-SHA256 over fresh nonces, names, incarnations, version and role; frames above 512 bytes are refused before it, above 2 MB after it; handshakes end within 3 s; one connection attempt for each peer; at most 1,024 frames or 4 MB wait, the rest is dropped. onMessage(Class, Consumer<Received>) registers receivers for any message type.

Found on the way: Grizzly does not call exceptionOccurred on filters after the failing one, so a bad length closed its connection without an event; the filters now refuse by themselves.

Ruled out: authentication of every frame (costs a MAC per frame; an attacker on the path is the platform's matter and is named in the decision record).

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -38,6 +38,7 @@
   /** Creates the services; nothing is started yet. */
   public Daemon(DaemonSettings settings, TimeSource time) {
     self = settings.instance();
+    long incarnation = time.wallMilliseconds();
     events = new EventLog(self.name(), time);
     MetricRegistry metrics = new MetricRegistry();
     platformClient =
@@ -50,10 +51,11 @@
     HttpPlatformService platform = new HttpPlatformService(platformClient, settings.platform());
     ControlService control = new ControlService(events);
     ConfigurationService configuration = new ConfigurationService(platform, control.loop(), events);
-    PeerTransport transport = new PeerTransport(self, events);
+    PeerTransport transport =
+        new PeerTransport(self, incarnation, settings.peerSecret(), events, metrics, time);
     membership =
         new MembershipService(
-            self, platform, control.loop(), events, configuration, transport, time);
+            self, incarnation, platform, control.loop(), events, configuration, transport, time);
     LimitService limits = new LimitService(configuration);
     TrafficService traffic =
         new TrafficService(self, configuration, membership, limits, events, metrics, time);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/control/MembershipService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/control/MembershipService.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.corianderweir.daemon.peer.PeerTransport;
+import org.corianderweir.daemon.peer.Received;
 import org.corianderweir.kernel.ControlLoop;
 import org.corianderweir.kernel.Service;
 import org.corianderweir.kernel.ServiceDirectory;
@@ -43,6 +44,7 @@
   /** Creates the service; this instance is joining. */
   public MembershipService(
       EntryInstance self,
+      long incarnation,
       PlatformService platform,
       ControlLoop loop,
       EventLog events,
@@ -56,7 +58,7 @@
     this.configuration = configuration;
     this.transport = transport;
     this.time = time;
-    this.incarnation = time.wallMilliseconds();
+    this.incarnation = incarnation;
   }
 
   /** Returns the instances that are alive, this one too; any thread may call this. */
@@ -86,7 +88,7 @@
 
   @Override
   public void start(ServiceDirectory directory) {
-    transport.onMembershipMessage(message -> loop.execute(() -> receive(message)));
+    transport.onMessage(MembershipMessage.class, received -> loop.execute(() -> receive(received)));
     loop.every(LIST_PERIOD, this::refreshList);
     loop.every(HEARTBEAT_PERIOD, this::beat);
   }
@@ -118,9 +120,12 @@
     }
   }
 
-  private void receive(MembershipMessage message) {
-    switch (message) {
+  private void receive(Received<MembershipMessage> received) {
+    switch (received.message()) {
       case MembershipMessage.Heartbeat heartbeat -> {
+        if (!heartbeat.sender().instance().name().equals(received.sender().name())) {
+          return;
+        }
         events.clock().observe(heartbeat.timestamp());
         if (table.heard(heartbeat.sender(), time.monotonicNanoseconds())) {
           events.record(EventCode.PEER_ALIVE, heartbeat.sender().instance().name(), "");
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/peer/FrameFilter.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/peer/FrameFilter.java
@@ -1,8 +1,9 @@
 package org.corianderweir.daemon.peer;
 
-import org.corianderweir.model.ErrorCode;
-import org.corianderweir.model.WeirException;
+import java.util.function.BiConsumer;
+import java.util.function.ToIntFunction;
 import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
@@ -12,10 +13,18 @@
 final class FrameFilter extends BaseFilter {
   private static final int LENGTH_BYTES = 4;
 
-  private final int frameLimitBytes;
+  private final ToIntFunction<Connection<?>> limitBytes;
+  private final BiConsumer<Connection<?>, String> refusals;
 
-  FrameFilter(int frameLimitBytes) {
-    this.frameLimitBytes = frameLimitBytes;
+  /**
+   * Creates a filter.
+   *
+   * @param limitBytes asked for each frame, because the limit grows with authentication
+   * @param refusals closes a connection whose frame is refused, and is told the reason
+   */
+  FrameFilter(ToIntFunction<Connection<?>> limitBytes, BiConsumer<Connection<?>, String> refusals) {
+    this.limitBytes = limitBytes;
+    this.refusals = refusals;
   }
 
   @Override
@@ -25,8 +34,9 @@
       return context.getStopAction(buffer);
     }
     int length = buffer.getInt(buffer.position());
-    if (length <= 0 || length > frameLimitBytes) {
-      throw new WeirException(ErrorCode.FRAME_INVALID, "frame of " + length + " bytes");
+    if (length <= 0 || length > limitBytes.applyAsInt(context.getConnection())) {
+      refusals.accept(context.getConnection(), "frame of " + length + " bytes");
+      return context.getStopAction();
     }
     if (buffer.remaining() < LENGTH_BYTES + length) {
       return context.getStopAction(buffer);
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/peer/PeerLink.java
@@ -0,0 +1,151 @@
+package org.corianderweir.daemon.peer;
+
+import java.util.ArrayDeque;
+import java.util.Optional;
+import java.util.Queue;
+import org.glassfish.grizzly.CompletionHandler;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The way to one other entry instance: at most one connection or attempt at a time, and a bounded
+ * number of bytes that wait to be sent. Thread-safe; never blocks on the network.
+ */
+final class PeerLink {
+  private static final long RETRY_NANOSECONDS = 500_000_000L;
+  private static final int PENDING_LIMIT_BYTES = 4 * 1024 * 1024;
+  private static final int PENDING_LIMIT_FRAMES = 1024;
+
+  private final Queue<byte[]> waiting = new ArrayDeque<>();
+  private @Nullable Connection<?> connection;
+  private boolean connecting;
+  private boolean authenticated;
+  private long attemptNanoseconds;
+  private boolean attempted;
+  private long usedNanoseconds;
+  private int pendingBytes;
+  private int pendingFrames;
+
+  /** What the caller of {@link #send} has to do. */
+  enum Outcome {
+    /** The frame is underway or waits for the connection. */
+    ACCEPTED,
+    /** The frame waits; the caller opens a connection. */
+    ACCEPTED_AND_CONNECT,
+    /** The frame was dropped. */
+    DROPPED
+  }
+
+  synchronized Outcome send(byte[] frame, long nowNanoseconds) {
+    usedNanoseconds = nowNanoseconds;
+    boolean full =
+        pendingFrames >= PENDING_LIMIT_FRAMES || pendingBytes + frame.length > PENDING_LIMIT_BYTES;
+    if (full) {
+      return Outcome.DROPPED;
+    }
+    Connection<?> current = connection;
+    if (current != null && !current.isOpen()) {
+      reset();
+      current = null;
+    }
+    if (current != null && authenticated) {
+      reserve(frame);
+      write(current, frame);
+      return Outcome.ACCEPTED;
+    }
+    if (connecting) {
+      reserve(frame);
+      waiting.add(frame);
+      return Outcome.ACCEPTED;
+    }
+    if (attempted && nowNanoseconds - attemptNanoseconds < RETRY_NANOSECONDS) {
+      return Outcome.DROPPED;
+    }
+    reserve(frame);
+    waiting.add(frame);
+    connecting = true;
+    attempted = true;
+    attemptNanoseconds = nowNanoseconds;
+    return Outcome.ACCEPTED_AND_CONNECT;
+  }
+
+  synchronized void connected(Connection<?> opened) {
+    connection = opened;
+  }
+
+  /** Sends what waited for the handshake. */
+  synchronized void authenticated(Connection<?> proved) {
+    connection = proved;
+    connecting = false;
+    authenticated = true;
+    byte[] frame = waiting.poll();
+    while (frame != null) {
+      write(proved, frame);
+      frame = waiting.poll();
+    }
+  }
+
+  /** Gives up a connection or an attempt; waiting frames are dropped. */
+  synchronized void failed() {
+    reset();
+  }
+
+  synchronized boolean isIdleLongerThan(long limitNanoseconds, long nowNanoseconds) {
+    return nowNanoseconds - usedNanoseconds > limitNanoseconds;
+  }
+
+  synchronized Optional<Connection<?>> connection() {
+    return Optional.ofNullable(connection);
+  }
+
+  private void reset() {
+    connection = null;
+    connecting = false;
+    authenticated = false;
+    byte[] frame = waiting.poll();
+    while (frame != null) {
+      release(frame.length);
+      frame = waiting.poll();
+    }
+  }
+
+  private void reserve(byte[] frame) {
+    pendingBytes += frame.length;
+    pendingFrames++;
+  }
+
+  private synchronized void release(int bytes) {
+    pendingBytes -= bytes;
+    pendingFrames--;
+  }
+
+  @SuppressWarnings({"rawtypes", "unchecked"})
+  private void write(Connection<?> target, byte[] frame) {
+    ((Connection) target).write(frame, (CompletionHandler) new Release(frame.length));
+  }
+
+  /** Gives back the room of a frame when it has been sent or can't be sent any more. */
+  private final class Release extends EmptyCompletionHandler<Object> {
+    private final int bytes;
+
+    Release(int bytes) {
+      this.bytes = bytes;
+    }
+
+    @Override
+    public void completed(Object result) {
+      release(bytes);
+    }
+
+    @Override
+    public void failed(Throwable failure) {
+      release(bytes);
+    }
+
+    @Override
+    public void cancelled() {
+      release(bytes);
+    }
+  }
+}
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/peer/PeerSession.java
@@ -0,0 +1,68 @@
+package org.corianderweir.daemon.peer;
+
+import java.util.Optional;
+import java.util.function.Function;
+import org.corianderweir.logic.handshake.HandshakeMessage;
+import org.corianderweir.logic.handshake.HandshakeStep;
+import org.corianderweir.logic.handshake.PeerIdentity;
+import org.corianderweir.protocol.HandshakeCodec;
+import org.glassfish.grizzly.Connection;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The state of one connection: a handshake that is underway, then the peer that it proved. Frames
+ * of one connection arrive one after the other.
+ */
+final class PeerSession {
+  private final Connection<?> connection;
+  private final Function<HandshakeMessage, HandshakeStep> handshake;
+  private final Runnable onAuthenticated;
+  private final long openedNanoseconds;
+  private volatile @Nullable PeerIdentity peer;
+
+  PeerSession(
+      Connection<?> connection,
+      Function<HandshakeMessage, HandshakeStep> handshake,
+      Runnable onAuthenticated,
+      long openedNanoseconds) {
+    this.connection = connection;
+    this.handshake = handshake;
+    this.onAuthenticated = onAuthenticated;
+    this.openedNanoseconds = openedNanoseconds;
+  }
+
+  Optional<PeerIdentity> peer() {
+    return Optional.ofNullable(peer);
+  }
+
+  Connection<?> connection() {
+    return connection;
+  }
+
+  /** Returns whether the handshake has taken longer than the limit. */
+  boolean isHalfOpenLongerThan(long limitNanoseconds, long nowNanoseconds) {
+    return peer == null && nowNanoseconds - openedNanoseconds > limitNanoseconds;
+  }
+
+  /** Takes a handshake message; returns why the connection must be closed, if it must. */
+  Optional<String> advance(byte[] payload) {
+    return switch (handshake.apply(HandshakeCodec.decode(payload))) {
+      case HandshakeStep.Continue next -> {
+        send(next.reply());
+        yield Optional.empty();
+      }
+      case HandshakeStep.Authenticated authenticated -> {
+        authenticated.reply().ifPresent(this::send);
+        peer = authenticated.peer();
+        onAuthenticated.run();
+        yield Optional.empty();
+      }
+      case HandshakeStep.Refused refused -> Optional.of(refused.reason());
+    };
+  }
+
+  @SuppressWarnings({"rawtypes", "unchecked"})
+  void send(HandshakeMessage message) {
+    ((Connection) connection).write(HandshakeCodec.encode(message));
+  }
+}
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/peer/PeerSessions.java
@@ -0,0 +1,59 @@
+package org.corianderweir.daemon.peer;
+
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.corianderweir.protocol.HandshakeCodec;
+import org.glassfish.grizzly.Connection;
+
+/** The sessions of all open connections. Thread-safe. */
+final class PeerSessions {
+  /** Largest frame of an authenticated peer; a document of the configuration fits. */
+  static final int FRAME_LIMIT_BYTES = 2 * 1024 * 1024;
+
+  private static final int HALF_OPEN_MAXIMUM = 512;
+
+  private final Map<Connection<?>, PeerSession> sessions = new ConcurrentHashMap<>();
+
+  /** Adds a session unless too many handshakes are underway; returns whether it was added. */
+  boolean add(PeerSession session) {
+    if (halfOpen() >= HALF_OPEN_MAXIMUM) {
+      return false;
+    }
+    sessions.put(session.connection(), session);
+    return true;
+  }
+
+  void remove(Connection<?> connection) {
+    sessions.remove(connection);
+  }
+
+  Optional<PeerSession> find(Connection<?> connection) {
+    return Optional.ofNullable(sessions.get(connection));
+  }
+
+  int frameLimitBytes(Connection<?> connection) {
+    boolean authenticated = find(connection).flatMap(PeerSession::peer).isPresent();
+    return authenticated ? FRAME_LIMIT_BYTES : HandshakeCodec.LIMIT_BYTES;
+  }
+
+  /** Closes connections whose handshake takes too long; returns how many. */
+  int closeHalfOpen(long limitNanoseconds, long nowNanoseconds) {
+    int closed = 0;
+    Iterator<PeerSession> iterator = sessions.values().iterator();
+    while (iterator.hasNext()) {
+      PeerSession session = iterator.next();
+      if (session.isHalfOpenLongerThan(limitNanoseconds, nowNanoseconds)) {
+        iterator.remove();
+        session.connection().closeSilently();
+        closed++;
+      }
+    }
+    return closed;
+  }
+
+  private long halfOpen() {
+    return sessions.values().stream().filter(session -> session.peer().isEmpty()).count();
+  }
+}
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/peer/PeerTransport.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/peer/PeerTransport.java
@@ -1,23 +1,33 @@
 package org.corianderweir.daemon.peer;
 
+import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.kernel.Service;
 import org.corianderweir.kernel.ServiceDirectory;
 import org.corianderweir.kernel.ServiceName;
+import org.corianderweir.kernel.TimeSource;
+import org.corianderweir.logic.handshake.InitiatorHandshake;
+import org.corianderweir.logic.handshake.PeerIdentity;
+import org.corianderweir.logic.handshake.ResponderHandshake;
+import org.corianderweir.logic.handshake.SharedSecret;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
 import org.corianderweir.model.timeline.EventCode;
 import org.corianderweir.model.topology.EntryInstance;
-import org.corianderweir.protocol.ConfigurationMessage;
-import org.corianderweir.protocol.MembershipMessage;
 import org.corianderweir.protocol.PeerMessage;
+import org.corianderweir.protocol.PeerMessageCodec;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
@@ -27,32 +37,53 @@
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 
 /**
- * Sends messages to the other entry instances over TCP, one connection for each direction. A
- * message that can't be sent is dropped: everything built on this repeats itself.
+ * Sends messages to the other entry instances over TCP, one authenticated connection for each
+ * direction. A message that can't be sent is dropped: everything built on this repeats itself.
+ * Thread-safe.
  */
 public final class PeerTransport implements Service {
   /** The name of this service. */
   public static final ServiceName<PeerTransport> NAME =
       new ServiceName<>("peers", PeerTransport.class);
 
-  private static final int FRAME_LIMIT_BYTES = 2 * 1024 * 1024;
   private static final int WORKER_THREADS = 2;
+  private static final int CONNECT_TIMEOUT_MILLISECONDS = 2_000;
+  private static final Duration SWEEP_PERIOD = Duration.ofMillis(500);
+  private static final Duration HANDSHAKE_LIMIT = Duration.ofSeconds(3);
+  private static final Duration IDLE_LIMIT = Duration.ofSeconds(60);
 
   private final EntryInstance self;
+  private final PeerIdentity identity;
+  private final SharedSecret secret;
   private final EventLog events;
+  private final MetricRegistry metrics;
+  private final TimeSource time;
+  private final SecureRandom random = new SecureRandom();
   private final TCPNIOTransport transport;
-  private final Map<String, Connection<?>> connections = new ConcurrentHashMap<>();
-  private final List<Consumer<MembershipMessage>> membershipListeners =
-      new CopyOnWriteArrayList<>();
-  private final List<Consumer<ConfigurationMessage>> configurationListeners =
-      new CopyOnWriteArrayList<>();
+  private final PeerSessions sessions = new PeerSessions();
+  private final Map<EntryInstance, PeerLink> links = new ConcurrentHashMap<>();
+  private final List<Registration<?>> registrations = new CopyOnWriteArrayList<>();
+  private final ScheduledExecutorService sweeper =
+      Executors.newSingleThreadScheduledExecutor(
+          task -> Thread.ofPlatform().daemon().name("peer-sweeper").unstarted(task));
 
   /** Creates a transport that does not listen yet. */
-  public PeerTransport(EntryInstance self, EventLog events) {
+  public PeerTransport(
+      EntryInstance self,
+      long incarnation,
+      String secret,
+      EventLog events,
+      MetricRegistry metrics,
+      TimeSource time) {
     this.self = self;
+    this.identity = new PeerIdentity(self.name(), incarnation);
+    this.secret = new SharedSecret(secret);
     this.events = events;
+    this.metrics = metrics;
+    this.time = time;
     transport = TCPNIOTransportBuilder.newInstance().setTcpNoDelay(true).build();
     transport.setReuseAddress(true);
+    transport.setConnectionTimeout(CONNECT_TIMEOUT_MILLISECONDS);
     transport.setSelectorRunnersCount(1);
     transport.setWorkerThreadPoolConfig(
         ThreadPoolConfig.defaultConfig()
@@ -60,31 +91,46 @@
             .setDaemon(true)
             .setCorePoolSize(WORKER_THREADS)
             .setMaxPoolSize(WORKER_THREADS));
+    PeerFilter peerFilter = new PeerFilter(sessions, new Connections());
     transport.setProcessor(
         FilterChainBuilder.stateless()
             .add(new TransportFilter())
-            .add(new FrameFilter(FRAME_LIMIT_BYTES))
-            .add(new MessageFilter(this::receive, this::refuse))
+            .add(new FrameFilter(sessions::frameLimitBytes, peerFilter::refuse))
+            .add(peerFilter)
             .build());
   }
 
-  /** Registers a receiver of membership messages; it is called on a network thread. */
-  public void onMembershipMessage(Consumer<MembershipMessage> listener) {
-    membershipListeners.add(listener);
+  private record Registration<T extends PeerMessage>(
+      Class<T> type, Consumer<Received<T>> listener) {
+    void offer(PeerIdentity sender, PeerMessage message) {
+      if (type.isInstance(message)) {
+        listener.accept(new Received<>(sender, type.cast(message)));
+      }
+    }
   }
 
-  /** Registers a receiver of configuration messages; it is called on a network thread. */
-  public void onConfigurationMessage(Consumer<ConfigurationMessage> listener) {
-    configurationListeners.add(listener);
+  /** Registers a receiver of a type of message; it is called on a network thread. */
+  public <T extends PeerMessage> void onMessage(Class<T> type, Consumer<Received<T>> listener) {
+    registrations.add(new Registration<>(type, listener));
   }
 
   /** Sends a message, opening a connection if there is none. Never blocks. */
   public void send(EntryInstance target, PeerMessage message) {
-    Connection<?> connection = connections.get(target.name());
-    if (connection != null && connection.isOpen()) {
-      write(connection, message);
-    } else {
-      connectAndSend(target, message);
+    byte[] frame = PeerMessageCodec.encode(message);
+    if (frame.length > PeerSessions.FRAME_LIMIT_BYTES) {
+      metrics.meter("peers.dropped").mark();
+      return;
+    }
+    PeerLink link = links.computeIfAbsent(target, unused -> new PeerLink());
+    PeerLink.Outcome outcome = link.send(frame, time.monotonicNanoseconds());
+    if (outcome == PeerLink.Outcome.DROPPED) {
+      metrics.meter("peers.dropped").mark();
+      return;
+    }
+    metrics.meter("peers.sent-frames").mark();
+    metrics.meter("peers.sent-bytes").mark(frame.length);
+    if (outcome == PeerLink.Outcome.ACCEPTED_AND_CONNECT) {
+      connect(target, link);
     }
   }
 
@@ -102,10 +148,13 @@
       throw new WeirException(
           ErrorCode.CONNECT_FAILED, "can't listen for entry instances", failure);
     }
+    long period = SWEEP_PERIOD.toMillis();
+    sweeper.scheduleWithFixedDelay(this::sweep, period, period, TimeUnit.MILLISECONDS);
   }
 
   @Override
   public void stop() {
+    sweeper.shutdownNow();
     try {
       transport.shutdownNow();
     } catch (IOException failure) {
@@ -114,39 +163,86 @@
   }
 
   @SuppressWarnings({"rawtypes", "unchecked"})
-  private void connectAndSend(EntryInstance target, PeerMessage message) {
+  private void connect(EntryInstance target, PeerLink link) {
     transport.connect(
         new InetSocketAddress(target.host(), target.peerPort()),
         new InetSocketAddress(self.host(), 0),
         new EmptyCompletionHandler<Connection>() {
           @Override
           public void completed(Connection connection) {
-            connections.put(target.name(), connection);
-            write(connection, message);
+            begin(target, link, connection);
+          }
+
+          @Override
+          public void failed(Throwable failure) {
+            link.failed();
+          }
+
+          @Override
+          public void cancelled() {
+            link.failed();
           }
         });
   }
 
-  @SuppressWarnings({"rawtypes", "unchecked"})
-  private static void write(Connection connection, PeerMessage message) {
-    connection.write(message);
+  private void begin(EntryInstance target, PeerLink link, Connection<?> connection) {
+    InitiatorHandshake handshake = new InitiatorHandshake(identity, target.name(), secret, random);
+    PeerSession session =
+        new PeerSession(
+            connection,
+            handshake::receive,
+            () -> link.authenticated(connection),
+            time.monotonicNanoseconds());
+    link.connected(connection);
+    connection.addCloseListener((closed, type) -> link.failed());
+    if (sessions.add(session)) {
+      session.send(handshake.hello());
+    } else {
+      connection.closeSilently();
+    }
   }
 
-  private void receive(Connection<?> connection, PeerMessage message) {
-    switch (message) {
-      case MembershipMessage membership ->
-          membershipListeners.forEach(listener -> listener.accept(membership));
-      case ConfigurationMessage configuration ->
-          configurationListeners.forEach(listener -> listener.accept(configuration));
+  private void sweep() {
+    long now = time.monotonicNanoseconds();
+    int closed = sessions.closeHalfOpen(HANDSHAKE_LIMIT.toNanos(), now);
+    if (closed > 0) {
+      events.record(EventCode.PEER_HANDSHAKE_REFUSED, self.name(), closed + " were too slow");
     }
+    links
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean idle = entry.getValue().isIdleLongerThan(IDLE_LIMIT.toNanos(), now);
+              if (idle) {
+                entry.getValue().connection().ifPresent(Connection::closeSilently);
+              }
+              return idle;
+            });
   }
 
-  private void refuse(Connection<?> connection, Throwable failure) {
-    if (failure instanceof WeirException) {
-      events.record(
-          EventCode.PEER_FRAME_REFUSED,
-          String.valueOf(connection.getPeerAddress()),
-          String.valueOf(failure.getMessage()));
+  /** Gives accepted connections a handshake and hands on the messages of the proved ones. */
+  private final class Connections implements PeerFilter.Listener {
+    @Override
+    public void accepted(Connection<?> connection) {
+      ResponderHandshake handshake = new ResponderHandshake(identity, secret, random);
+      PeerSession session =
+          new PeerSession(connection, handshake::receive, () -> {}, time.monotonicNanoseconds());
+      if (!sessions.add(session)) {
+        connection.closeSilently();
+      }
+    }
+
+    @Override
+    public void received(PeerIdentity sender, PeerMessage message) {
+      registrations.forEach(registration -> registration.offer(sender, message));
+    }
+
+    @Override
+    public void refused(Connection<?> connection, String reason) {
+      boolean authenticated = sessions.find(connection).flatMap(PeerSession::peer).isPresent();
+      EventCode code =
+          authenticated ? EventCode.PEER_FRAME_REFUSED : EventCode.PEER_HANDSHAKE_REFUSED;
+      events.record(code, String.valueOf(connection.getPeerAddress()), reason);
     }
   }
 }
--- a/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
+++ b/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
@@ -28,6 +28,8 @@
   PEER_SILENT(3002, Severity.WARNING, "Entry instance silent"),
   /** A frame from another process was refused and its connection closed. */
   PEER_FRAME_REFUSED(3003, Severity.WARNING, "Peer frame refused"),
+  /** A process could not prove that it is an entry instance; its connection was closed. */
+  PEER_HANDSHAKE_REFUSED(3004, Severity.WARNING, "Peer handshake refused"),
   /** A request was refused by this entry instance. */
   REQUEST_REFUSED(4001, Severity.DEBUG, "Request refused"),
   /** A request was sent to a backend server. */
--- /dev/null
+++ b/weirlib/src/test/java/org/corianderweir/logic/handshake/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the handshake between entry instances. */
+package org.corianderweir.logic.handshake;
