--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/LendableSlice.java
@@ -0,0 +1,64 @@
+package org.corianderweir.logic.limits;
+
+import java.util.Optional;
+
+/**
+ * The part of one limit that an entry instance may spend, parts of which can be lent and borrowed.
+ * Implementations are thread-safe; times are monotonic nanoseconds of this process.
+ */
+public sealed interface LendableSlice permits SliceBucket, ConcurrencyPermits {
+  /**
+   * What moves with a loan.
+   *
+   * @param allowance the part of the limit
+   * @param tokens tokens saved up that move with it, at most its capacity
+   */
+  record Parcel(Allowance allowance, double tokens) {}
+
+  /**
+   * What a slice has and needs.
+   *
+   * @param held allowance that can be spent now
+   * @param needed allowance that the demand of this instance calls for
+   * @param available tokens or permits free at this moment
+   */
+  record Position(Allowance held, Allowance needed, double available) {}
+
+  /** Sets this instance's own part; what is new in it starts empty. */
+  void setOwn(Allowance own, long nowNanoseconds);
+
+  /** Lets the own part be spent and lent until the given time; it ends by itself then. */
+  void renewOwn(long validUntilNanoseconds, long nowNanoseconds);
+
+  /**
+   * Deducts a loan of at most the wanted size from the own part that is neither needed nor lent.
+   * Empty if there is nothing to lend or the loan was granted before.
+   *
+   * @param loan the request
+   * @param wanted largest size
+   * @param lifetimeNanoseconds lifetime on the borrower's clock
+   */
+  Optional<Parcel> lend(
+      LoanIdentifier loan, Allowance wanted, long lifetimeNanoseconds, long nowNanoseconds);
+
+  /** Adds a loan until it expires; returns false if it has expired or is known already. */
+  boolean borrow(LoanIdentifier loan, Parcel parcel, long expiresNanoseconds, long nowNanoseconds);
+
+  /** Lengthens a borrowed loan; returns false if it has ended. */
+  boolean extendBorrowed(LoanIdentifier loan, long expiresNanoseconds, long nowNanoseconds);
+
+  /** Lengthens a lent loan; returns false if it has ended or this instance needs it itself. */
+  boolean extendLent(LoanIdentifier loan, long lifetimeNanoseconds, long nowNanoseconds);
+
+  /**
+   * Ends a borrowed loan early; returns the tokens that go back with it. Empty if the loan is not
+   * known or requests still run on it.
+   */
+  Optional<Double> giveBack(LoanIdentifier loan, long nowNanoseconds);
+
+  /** Takes a lent loan back early; ignored if it is not outstanding. */
+  void takeBack(LoanIdentifier loan, double tokens, long nowNanoseconds);
+
+  /** Returns what the slice has and needs; measures demand since the last call. */
+  Position position(long nowNanoseconds);
+}
