--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/steering/CellConditions.java
@@ -0,0 +1,65 @@
+package org.corianderweir.logic.steering;
+
+import org.corianderweir.model.configuration.BackendServer;
+
+/** Works out the condition of a cell from what is known of its servers. */
+public final class CellConditions {
+  /** A cell above this utilisation gets no larger share. */
+  public static final double BUSY_UTILISATION = 0.75;
+
+  /** A cell above this utilisation loses share. */
+  public static final double FULL_UTILISATION = 0.92;
+
+  /** A cell in which more of the slots are at unhealthy servers counts as unhealthy. */
+  private static final double UNHEALTHY_SLOTS_LIMIT = 0.5;
+
+  private CellConditions() {}
+
+  /** What is known of the backend servers. */
+  public interface ServerView {
+    /** Returns what is known of a server at present. */
+    ServerCondition of(BackendServer server);
+  }
+
+  /**
+   * What is known of a backend server.
+   *
+   * @param reachable whether requests can be sent to it
+   * @param healthy whether it answers as it should
+   * @param measured whether its load was reported lately
+   * @param utilisation part of its slots in use, from 0 to 1; of no meaning if not measured
+   */
+  public record ServerCondition(
+      boolean reachable, boolean healthy, boolean measured, double utilisation) {}
+
+  /** Returns the condition of a cell. */
+  public static CellCondition of(Cell cell, ServerView view) {
+    double reachableSlots = 0;
+    double healthySlots = 0;
+    double measuredSlots = 0;
+    double usedSlots = 0;
+    for (BackendServer server : cell.servers()) {
+      ServerCondition condition = view.of(server);
+      if (condition.reachable()) {
+        reachableSlots += server.slots();
+        healthySlots += condition.healthy() ? server.slots() : 0;
+        measuredSlots += condition.measured() ? server.slots() : 0;
+        usedSlots += condition.measured() ? server.slots() * condition.utilisation() : 0;
+      }
+    }
+    if (reachableSlots == 0) {
+      return CellCondition.DEAD;
+    }
+    if (measuredSlots == 0) {
+      return CellCondition.UNMEASURED;
+    }
+    double utilisation = usedSlots / measuredSlots;
+    if (utilisation > FULL_UTILISATION) {
+      return CellCondition.FULL;
+    }
+    if (healthySlots < cell.slots() * UNHEALTHY_SLOTS_LIMIT) {
+      return CellCondition.UNHEALTHY;
+    }
+    return utilisation > BUSY_UTILISATION ? CellCondition.BUSY : CellCondition.READY;
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/steering/Overflow.java
@@ -0,0 +1,50 @@
+package org.corianderweir.logic.steering;
+
+import java.util.List;
+import java.util.function.IntPredicate;
+import java.util.stream.IntStream;
+
+/**
+ * Gives the wanted share of cells that are dead or full to others that are ready: of the same
+ * destination in the own region first, then of the same destination elsewhere, then of the other
+ * destinations in the own region, then of any. A share that fits nowhere stays where it is.
+ */
+final class Overflow {
+  private Overflow() {}
+
+  static double[] redirect(List<Cell> cells, double[] preferred, CellCondition[] conditions) {
+    double[] wanted = preferred.clone();
+    for (int index = 0; index < preferred.length; index++) {
+      if (preferred[index] > 0 && conditions[index].sheds()) {
+        redirectOne(cells, preferred[index], conditions, index, wanted);
+      }
+    }
+    return wanted;
+  }
+
+  private static void redirectOne(
+      List<Cell> cells, double share, CellCondition[] conditions, int source, double[] wanted) {
+    Cell from = cells.get(source);
+    IntPredicate ready = index -> conditions[index] == CellCondition.READY;
+    IntPredicate local = index -> cells.get(index).local();
+    IntPredicate sameDestination =
+        index -> cells.get(index).key().conditions().equals(from.key().conditions());
+    List<IntPredicate> preferences =
+        List.of(
+            ready.and(sameDestination).and(local),
+            ready.and(sameDestination),
+            ready.and(local),
+            ready);
+    for (IntPredicate preference : preferences) {
+      int[] targets = IntStream.range(0, cells.size()).filter(preference).toArray();
+      int slots = IntStream.of(targets).map(index -> cells.get(index).slots()).sum();
+      if (slots > 0) {
+        wanted[source] -= share;
+        for (int target : targets) {
+          wanted[target] += share * cells.get(target).slots() / slots;
+        }
+        return;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/steering/ServerPlace.java
@@ -0,0 +1,93 @@
+package org.corianderweir.logic.steering;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.corianderweir.model.configuration.AvailabilityZone;
+import org.corianderweir.model.configuration.BackendServer;
+import org.corianderweir.model.configuration.Configuration;
+import org.corianderweir.model.configuration.Label;
+import org.corianderweir.model.configuration.LabelCondition;
+import org.corianderweir.model.configuration.LabelScope;
+import org.corianderweir.model.configuration.Region;
+
+/**
+ * A backend server with the zone and region whose labels it inherits.
+ *
+ * @param server the server
+ * @param zone its availability zone, if the configuration has it
+ * @param region its region, if the configuration has it
+ */
+public record ServerPlace(
+    BackendServer server, Optional<AvailabilityZone> zone, Optional<Region> region) {
+
+  /** Returns all backend servers of a configuration with their places. */
+  public static List<ServerPlace> of(Configuration configuration) {
+    Map<String, AvailabilityZone> zones =
+        configuration.zones().stream()
+            .collect(Collectors.toMap(AvailabilityZone::name, Function.identity()));
+    Map<String, Region> regions =
+        configuration.regions().stream()
+            .collect(Collectors.toMap(Region::name, Function.identity()));
+    return configuration.backendServers().stream()
+        .map(
+            server -> {
+              Optional<AvailabilityZone> zone =
+                  Optional.ofNullable(zones.get(server.availabilityZone()));
+              return new ServerPlace(
+                  server,
+                  zone,
+                  zone.flatMap(found -> Optional.ofNullable(regions.get(found.region()))));
+            })
+        .toList();
+  }
+
+  /** Returns the name of the region, or an empty text if the zone is unknown. */
+  public String regionName() {
+    return zone.map(AvailabilityZone::region).orElse("");
+  }
+
+  /** Returns whether all conditions hold. */
+  public boolean matches(List<LabelCondition> conditions) {
+    return conditions.stream().allMatch(this::matches);
+  }
+
+  /** Returns whether a condition holds. */
+  public boolean matches(LabelCondition condition) {
+    boolean listed = actual(condition).filter(condition.values()::contains).isPresent();
+    return listed != condition.excluded();
+  }
+
+  /** Returns the value that a condition compares, if there is one. */
+  public Optional<String> actual(LabelCondition condition) {
+    return condition.label().isPresent()
+        ? label(condition.scope(), condition.label().get())
+        : Optional.of(name(condition.scope()));
+  }
+
+  private String name(LabelScope scope) {
+    return switch (scope) {
+      case SERVER -> server.name();
+      case ZONE -> server.availabilityZone();
+      case REGION -> regionName();
+    };
+  }
+
+  private Optional<String> label(LabelScope scope, String label) {
+    Optional<String> fromRegion = region.flatMap(found -> value(found.labels(), label));
+    if (scope == LabelScope.REGION) {
+      return fromRegion;
+    }
+    Optional<String> fromZone = zone.flatMap(found -> value(found.labels(), label));
+    if (scope == LabelScope.ZONE) {
+      return fromZone.or(() -> fromRegion);
+    }
+    return value(server.labels(), label).or(() -> fromZone).or(() -> fromRegion);
+  }
+
+  private static Optional<String> value(List<Label> labels, String name) {
+    return labels.stream().filter(label -> label.name().equals(name)).map(Label::value).findFirst();
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/steering/SteeringTable.java
@@ -0,0 +1,87 @@
+package org.corianderweir.logic.steering;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The weights in force at one entry instance. Immutable; traffic threads read it with one look-up
+ * and a binary search, and it allocates nothing for a request.
+ */
+public final class SteeringTable {
+  /** Steers nothing. */
+  public static final SteeringTable EMPTY = new SteeringTable(List.of());
+
+  private static final SteeringDecision UNKNOWN =
+      new SteeringDecision.NotNow(SteeringDecision.NotNowReason.SELECTOR_UNKNOWN);
+  private static final SteeringDecision NO_SERVER =
+      new SteeringDecision.NotNow(SteeringDecision.NotNowReason.NO_SERVER);
+  private static final SteeringDecision MOVING =
+      new SteeringDecision.NotNow(SteeringDecision.NotNowReason.MOVING);
+
+  private final Map<String, Row> rows = new HashMap<>();
+  private final List<Weights> weights;
+
+  /**
+   * The weights of a selector.
+   *
+   * @param plan the prepared selector
+   * @param shares share of each cell, in the order of the plan's cells
+   * @param conditions condition of each cell
+   */
+  @SuppressWarnings("ArrayRecordComponent")
+  public record Weights(SelectorPlan plan, double[] shares, CellCondition[] conditions) {}
+
+  private record Row(double[] upperBounds, SteeringDecision[] decisions) {}
+
+  /** Creates a table. */
+  public SteeringTable(List<Weights> weights) {
+    this.weights = List.copyOf(weights);
+    weights.forEach(entry -> rows.put(entry.plan().selector().name(), row(entry)));
+  }
+
+  /**
+   * Decides where a request may go.
+   *
+   * @param selector name of the selector that covers it
+   * @param draw uniform random number of the request from 0 up to 1; the same one when it asks
+   *     again
+   */
+  public SteeringDecision steer(String selector, double draw) {
+    Row row = rows.get(selector);
+    if (row == null) {
+      return UNKNOWN;
+    }
+    double[] upperBounds = row.upperBounds();
+    if (upperBounds.length == 0) {
+      return NO_SERVER;
+    }
+    int found = Arrays.binarySearch(upperBounds, draw * upperBounds[upperBounds.length - 1]);
+    int index = found >= 0 ? found + 1 : -found - 1;
+    return row.decisions()[Math.min(index, upperBounds.length - 1)];
+  }
+
+  /** Returns the weights of all selectors. */
+  public List<Weights> weights() {
+    return weights;
+  }
+
+  private static Row row(Weights entry) {
+    List<Cell> cells = entry.plan().cells();
+    double[] upperBounds = new double[cells.size()];
+    SteeringDecision[] decisions = new SteeringDecision[cells.size()];
+    int used = 0;
+    double total = 0;
+    for (int index = 0; index < cells.size(); index++) {
+      if (entry.shares()[index] > 0) {
+        total += entry.shares()[index];
+        upperBounds[used] = total;
+        boolean gone = entry.conditions()[index] == CellCondition.DEAD;
+        decisions[used] = gone ? MOVING : new SteeringDecision.Candidates(cells.get(index));
+        used++;
+      }
+    }
+    return new Row(Arrays.copyOf(upperBounds, used), Arrays.copyOf(decisions, used));
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/steering/WeightFollower.java
@@ -0,0 +1,108 @@
+package org.corianderweir.logic.steering;
+
+import java.util.List;
+
+/**
+ * Moves the weights of one entry instance towards those that its configuration wants, never faster
+ * than the cap. Pure functions.
+ *
+ * <p>The weights in force at the fleet are the mean of the instances' weights, weighted by their
+ * traffic. As none of them moves faster than the cap, the mean doesn't either, whatever each
+ * instance holds and whenever it learns of a change. So a hold needs no agreement: it only slows an
+ * instance, which afterwards follows at the cap and never jumps.
+ */
+public final class WeightFollower {
+  /** A step of the weights never counts more time than this, however late it comes. */
+  public static final double STEP_LIMIT_SECONDS = 1;
+
+  private static final double NANOSECONDS_PER_SECOND = 1e9;
+
+  private WeightFollower() {}
+
+  /** Returns the share that may move in a step after a monotonic time. */
+  public static double budget(double capPerSecond, long elapsedNanoseconds) {
+    double seconds = Math.max(0, elapsedNanoseconds) / NANOSECONDS_PER_SECOND;
+    return capPerSecond * Math.min(STEP_LIMIT_SECONDS, seconds);
+  }
+
+  /**
+   * Returns the weights after a step.
+   *
+   * @param cells cells, in the order of all the arrays
+   * @param current weights in force, adding up to 1
+   * @param preferred weights that the configuration wants
+   * @param conditions condition of each cell
+   * @param budget largest share that may move
+   */
+  public static double[] step(
+      List<Cell> cells,
+      double[] current,
+      double[] preferred,
+      CellCondition[] conditions,
+      double budget) {
+    double[] wanted = Overflow.redirect(cells, preferred, conditions);
+    double[] gains = new double[current.length];
+    double[] losses = new double[current.length];
+    for (int index = 0; index < current.length; index++) {
+      double difference = wanted[index] - current[index];
+      boolean mayGain = conditions[index] == CellCondition.READY;
+      gains[index] = mayGain ? Math.max(0, difference) : 0;
+      losses[index] = Math.max(0, -difference);
+    }
+    double moved = Math.min(budget, Math.min(sum(gains), sum(losses)));
+    if (moved <= 0) {
+      return current;
+    }
+    double[] next = current.clone();
+    add(next, gains, moved / sum(gains));
+    take(next, losses, conditions, moved);
+    return next;
+  }
+
+  /** Takes from dead cells first, then from full ones, then from the others in proportion. */
+  private static void take(
+      double[] weights, double[] losses, CellCondition[] conditions, double moved) {
+    double left = takeFrom(weights, losses, conditions, CellCondition.DEAD, moved);
+    left = takeFrom(weights, losses, conditions, CellCondition.FULL, left);
+    double total = 0;
+    for (int index = 0; index < losses.length; index++) {
+      total += conditions[index].sheds() ? 0 : losses[index];
+    }
+    for (int index = 0; total > 0 && index < losses.length; index++) {
+      double lost = conditions[index].sheds() ? 0 : losses[index] * left / total;
+      weights[index] = Math.max(0, weights[index] - lost);
+    }
+  }
+
+  private static double takeFrom(
+      double[] weights,
+      double[] losses,
+      CellCondition[] conditions,
+      CellCondition wanted,
+      double moved) {
+    double total = 0;
+    for (int index = 0; index < losses.length; index++) {
+      total += conditions[index] == wanted ? losses[index] : 0;
+    }
+    double part = Math.min(moved, total);
+    for (int index = 0; total > 0 && index < losses.length; index++) {
+      double lost = conditions[index] == wanted ? losses[index] * part / total : 0;
+      weights[index] = Math.max(0, weights[index] - lost);
+    }
+    return moved - part;
+  }
+
+  private static void add(double[] weights, double[] gains, double factor) {
+    for (int index = 0; index < weights.length; index++) {
+      weights[index] += gains[index] * factor;
+    }
+  }
+
+  private static double sum(double[] values) {
+    double total = 0;
+    for (double value : values) {
+      total += value;
+    }
+    return total;
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/steering/grammar/SelectorFormatter.java
@@ -0,0 +1,83 @@
+package org.corianderweir.logic.steering.grammar;
+
+import java.math.BigDecimal;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.corianderweir.model.configuration.Destination;
+import org.corianderweir.model.configuration.LabelCondition;
+import org.corianderweir.model.configuration.Selector;
+
+/** Writes a selector as text that the parser reads back as the same selector, less its shift. */
+public final class SelectorFormatter {
+  private static final BigDecimal PERCENT = BigDecimal.valueOf(100);
+
+  private SelectorFormatter() {}
+
+  /** Returns the text of a selector on one line. */
+  public static String format(Selector selector) {
+    StringBuilder text = new StringBuilder();
+    text.append("route ").append(name(selector.name()));
+    text.append(" path ").append(selector.pathPrefix());
+    if (!selector.organisations().isEmpty()) {
+      text.append(" for organisation in ").append(list(selector.organisations()));
+    }
+    text.append(" to service ").append(name(selector.service()));
+    String destinations =
+        selector.destinations().stream()
+            .map(SelectorFormatter::destination)
+            .collect(Collectors.joining(", "));
+    text.append(' ').append(destinations);
+    if (selector.concurrency() > 0) {
+      text.append(" limit concurrency ").append(selector.concurrency());
+    }
+    if (selector.capPerSecond() != Selector.DEFAULT_CAP_PER_SECOND) {
+      text.append(" cap ").append(percent(selector.capPerSecond())).append("% per second");
+    }
+    if (selector.open()) {
+      text.append(" open");
+    }
+    return text.toString();
+  }
+
+  /** Returns the text of a group's conditions, or {@code anywhere} if it has none. */
+  public static String conditions(List<LabelCondition> conditions) {
+    return conditions.isEmpty()
+        ? "anywhere"
+        : conditions.stream()
+            .map(SelectorFormatter::condition)
+            .collect(Collectors.joining(" and "));
+  }
+
+  private static String destination(Destination destination) {
+    String where =
+        destination.conditions().isEmpty()
+            ? ""
+            : "where " + conditions(destination.conditions()) + " ";
+    return where + "weight " + destination.weight();
+  }
+
+  private static String condition(LabelCondition condition) {
+    String subject =
+        condition.scope().word() + condition.label().map(label -> "." + name(label)).orElse("");
+    if (condition.values().size() == 1) {
+      String operator = condition.excluded() ? " != " : " = ";
+      return subject + operator + name(condition.values().getFirst());
+    }
+    return subject + (condition.excluded() ? " not in " : " in ") + list(condition.values());
+  }
+
+  private static String list(List<String> values) {
+    return values.stream().map(SelectorFormatter::name).collect(Collectors.joining(", ", "(", ")"));
+  }
+
+  private static String name(String value) {
+    if (SelectorLexer.isWord(value)) {
+      return value;
+    }
+    return '"' + value.replace("\\", "\\\\").replace("\"", "\\\"") + '"';
+  }
+
+  private static String percent(double share) {
+    return BigDecimal.valueOf(share).multiply(PERCENT).stripTrailingZeros().toPlainString();
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/steering/grammar/package-info.java
@@ -0,0 +1,5 @@
+/** The text form of selectors: lexer, parser and formatter. docs/SELECTORS.md gives the grammar. */
+@NullMarked
+package org.corianderweir.logic.steering.grammar;
+
+import org.jspecify.annotations.NullMarked;
--- a/weirlib/src/main/java/org/corianderweir/model/configuration/Selector.java
+++ b/weirlib/src/main/java/org/corianderweir/model/configuration/Selector.java
@@ -1,20 +1,134 @@
 package org.corianderweir.model.configuration;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
- * Says which traffic may go to which service.
+ * Says which traffic may go to which backend servers, for whom and within what limits.
  *
  * @param name unique name
  * @param pathPrefix requests whose path starts with this are meant; the longest prefix wins
  * @param service service whose backend servers answer
  * @param open whether requests need no key
  * @param organisations organisations that may use the route; empty means all of them
+ * @param destinations groups of backend servers and their weights, at least one
+ * @param concurrency requests that may run at the same time over the whole fleet; zero means that
+ *     only the limits of servers, regions and links count
+ * @param capPerSecond largest share of the traffic that may move in a second, above 0 up to 1
+ * @param shift path to the destinations; absent if the shares never had to move
  */
 public record Selector(
-    String name, String pathPrefix, String service, boolean open, List<String> organisations) {
-  /** Copies the list. */
+    String name,
+    String pathPrefix,
+    String service,
+    boolean open,
+    List<String> organisations,
+    List<Destination> destinations,
+    int concurrency,
+    double capPerSecond,
+    Optional<Shift> shift) {
+  /** The cap of a selector that names none: 5% of its traffic in a second. */
+  public static final double DEFAULT_CAP_PER_SECOND = 0.05;
+
+  /** Copies the lists. */
   public Selector {
     organisations = List.copyOf(organisations);
+    destinations = List.copyOf(destinations);
+  }
+
+  /** Creates a selector that uses every backend server of the service. */
+  public Selector(
+      String name, String pathPrefix, String service, boolean open, List<String> organisations) {
+    this(
+        name,
+        pathPrefix,
+        service,
+        open,
+        organisations,
+        List.of(Destination.ANYWHERE),
+        0,
+        DEFAULT_CAP_PER_SECOND,
+        Optional.empty());
+  }
+
+  /** Returns a builder of a selector of keyed requests under a path. */
+  public static Builder builder(String name, String pathPrefix, String service) {
+    return new Builder(new Selector(name, pathPrefix, service, false, List.of()));
+  }
+
+  /** Returns a builder that starts from this selector. */
+  public Builder toBuilder() {
+    return new Builder(this);
+  }
+
+  /** Collects the parts of a selector. */
+  public static final class Builder {
+    private final Selector start;
+    private boolean open;
+    private List<String> organisations;
+    private List<Destination> destinations;
+    private int concurrency;
+    private double capPerSecond;
+    private Optional<Shift> shift;
+
+    private Builder(Selector start) {
+      this.start = start;
+      open = start.open();
+      organisations = start.organisations();
+      destinations = start.destinations();
+      concurrency = start.concurrency();
+      capPerSecond = start.capPerSecond();
+      shift = start.shift();
+    }
+
+    /** Sets whether requests need no key. */
+    public Builder open(boolean value) {
+      open = value;
+      return this;
+    }
+
+    /** Sets the organisations that may use the route. */
+    public Builder organisations(List<String> value) {
+      organisations = value;
+      return this;
+    }
+
+    /** Sets the destinations. */
+    public Builder destinations(List<Destination> value) {
+      destinations = value;
+      return this;
+    }
+
+    /** Sets the number of requests that may run at the same time; zero means no limit. */
+    public Builder concurrency(int value) {
+      concurrency = value;
+      return this;
+    }
+
+    /** Sets the largest share of the traffic that may move in a second. */
+    public Builder capPerSecond(double value) {
+      capPerSecond = value;
+      return this;
+    }
+
+    /** Sets the path to the destinations. */
+    public Builder shift(Optional<Shift> value) {
+      shift = value;
+      return this;
+    }
+
+    /** Builds the selector. */
+    public Selector build() {
+      return new Selector(
+          start.name(),
+          start.pathPrefix(),
+          start.service(),
+          open,
+          organisations,
+          destinations,
+          concurrency,
+          capPerSecond,
+          shift);
+    }
   }
 }
