--- /dev/null
+++ b/weirlib/src/test/java/org/corianderweir/logic/steering/FleetHistory.java
@@ -0,0 +1,300 @@
+package org.corianderweir.logic.steering;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.corianderweir.model.WeirException;
+import org.corianderweir.model.configuration.AvailabilityZone;
+import org.corianderweir.model.configuration.BackendServer;
+import org.corianderweir.model.configuration.Configuration;
+import org.corianderweir.model.configuration.Destination;
+import org.corianderweir.model.configuration.Label;
+import org.corianderweir.model.configuration.LabelCondition;
+import org.corianderweir.model.configuration.LabelScope;
+import org.corianderweir.model.configuration.Selector;
+
+/**
+ * A generated history of a fleet with equal traffic at each entry instance: operators change
+ * weights, labels and drains, pause and turn back; zones die and return; measurements are lost;
+ * clocks are apart; configurations arrive late; instances freeze.
+ */
+final class FleetHistory {
+  private static final int INSTANCES = 18;
+  private static final int ZONES = 6;
+  private static final int SERVERS_PER_ZONE = 3;
+  private static final int ROUNDS = 2_000;
+  private static final int QUIET_ROUNDS = 700;
+  private static final long ROUND_MILLISECONDS = 100;
+  private static final long WINDOW_ROUNDS = 10;
+  private static final long SKEW_MILLISECONDS = 2_000;
+  private static final int SPREAD_ROUNDS = 50;
+  private static final double CAP_PER_SECOND = 0.05;
+  private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000;
+
+  /** How the instances move. */
+  enum Movement {
+    /** As the product does. */
+    FOLLOWS,
+    /** Broken: goes at once to where the configuration says when it holds no longer. */
+    CATCHES_UP,
+    /** Broken: always is where the configuration says. */
+    ADOPTS
+  }
+
+  private final Random random;
+  private final Movement movement;
+  private final List<Instance> instances = new ArrayList<>();
+  private final Map<String, CellConditions.ServerCondition> servers = new HashMap<>();
+  private Configuration configuration;
+  private long round;
+
+  /** An entry instance with its own clock and its own view of the configuration. */
+  private final class Instance {
+    private final long skewMilliseconds = random.nextLong(-SKEW_MILLISECONDS, SKEW_MILLISECONDS);
+    private final SteeringTracker tracker;
+    private final Deque<Arrival> arrivals = new ArrayDeque<>();
+    private Configuration known;
+    private Map<CellKey, Double> shares = Map.of();
+    private boolean held;
+    private long frozenUntilRound;
+
+    private Instance(String region) {
+      tracker = new SteeringTracker(region, 0);
+      known = configuration;
+      tracker.adopt(known, wall());
+      move();
+    }
+
+    private long wall() {
+      return 1_000_000 + round * ROUND_MILLISECONDS + skewMilliseconds;
+    }
+
+    private void move() {
+      if (round < frozenUntilRound) {
+        return;
+      }
+      while (!arrivals.isEmpty() && arrivals.peekFirst().round() <= round) {
+        known = arrivals.removeFirst().configuration();
+        tracker.adopt(known, wall());
+      }
+      long now = round * ROUND_MILLISECONDS * NANOSECONDS_PER_MILLISECOND;
+      SteeringTable.Weights weights =
+          tracker.step(server -> servers.get(server.name()), now, wall()).weights().getFirst();
+      boolean ready = List.of(weights.conditions()).stream().noneMatch(FleetHistory::holds);
+      boolean jumps =
+          movement == Movement.ADOPTS || (movement == Movement.CATCHES_UP && held && ready);
+      held = !ready;
+      SelectorPlan plan = weights.plan();
+      shares = byCell(plan, jumps ? plan.preferred(wall()) : weights.shares());
+    }
+  }
+
+  private record Arrival(long round, Configuration configuration) {}
+
+  FleetHistory(int seed, Movement movement) {
+    random = new Random(seed);
+    this.movement = movement;
+    List<AvailabilityZone> zones = new ArrayList<>();
+    List<BackendServer> backendServers = new ArrayList<>();
+    for (int zone = 0; zone < ZONES; zone++) {
+      String name = "z" + zone;
+      zones.add(new AvailabilityZone(name, "r" + zone / 2, List.of()));
+      for (int server = 0; server < SERVERS_PER_ZONE; server++) {
+        backendServers.add(
+            new BackendServer(
+                name + "s" + server, "desk", name, "127.0.0.1", 1, 4, 660, false, tier("gold")));
+      }
+    }
+    configuration =
+        Configuration.builder()
+            .zones(zones)
+            .backendServers(backendServers)
+            .selectors(List.of(selector()))
+            .build();
+    backendServers.forEach(server -> servers.put(server.name(), condition(0)));
+    for (int index = 0; index < INSTANCES; index++) {
+      instances.add(new Instance("r" + index % 3));
+    }
+  }
+
+  /** Runs the history; returns by how much the movement in a window was above the cap. */
+  double largestExcess() {
+    Deque<Map<CellKey, Double>> window = new ArrayDeque<>();
+    double excess = 0;
+    for (int count = 0; count < ROUNDS; count++) {
+      round++;
+      disturb();
+      instances.forEach(Instance::move);
+      Map<CellKey, Double> fleet = fleet();
+      window.addLast(fleet);
+      if (window.size() > WINDOW_ROUNDS) {
+        double seconds = WINDOW_ROUNDS * ROUND_MILLISECONDS / 1_000.0;
+        double allowed = CAP_PER_SECOND * (seconds + WeightFollower.STEP_LIMIT_SECONDS);
+        excess = Math.max(excess, distance(window.removeFirst(), fleet) - allowed);
+      }
+    }
+    return excess;
+  }
+
+  /** Runs on without disturbance; returns how far the fleet then is from what is wanted. */
+  double distanceAfterQuiet() {
+    servers.replaceAll((name, condition) -> condition(0));
+    if (configuration.selectors().getFirst().shift().filter(shift -> shift.paused()).isPresent()) {
+      change(selector -> ShiftPlanner.resumed(selector, wallOfOperator()));
+    }
+    for (int count = 0; count < QUIET_ROUNDS; count++) {
+      round++;
+      instances.forEach(Instance::move);
+    }
+    double distance = 0;
+    for (Instance instance : instances) {
+      SelectorPlan plan =
+          SelectorPlan.prepare(
+              configuration.selectors().getFirst(),
+              ServerPlace.of(configuration),
+              "r" + instances.indexOf(instance) % 3,
+              List.of());
+      Map<CellKey, Double> wanted = byCell(plan, plan.preferred(instance.wall()));
+      distance = Math.max(distance, distance(instance.shares, wanted));
+    }
+    return distance;
+  }
+
+  private void disturb() {
+    if (random.nextInt(40) == 0) {
+      operate();
+    }
+    if (random.nextInt(20) == 0) {
+      String zone = "z" + random.nextInt(ZONES);
+      int kind = random.nextInt(8);
+      servers.replaceAll((name, old) -> name.startsWith(zone) ? condition(kind) : old);
+    }
+    if (random.nextInt(50) == 0) {
+      instances.get(random.nextInt(INSTANCES)).frozenUntilRound = round + random.nextInt(60);
+    }
+  }
+
+  private void operate() {
+    long now = wallOfOperator();
+    switch (random.nextInt(6)) {
+      case 0, 1 -> change(selector -> ShiftPlanner.changed(selector, selector(), now));
+      case 2 -> change(selector -> ShiftPlanner.paused(selector, now));
+      case 3 -> change(selector -> ShiftPlanner.resumed(selector, now));
+      case 4 -> change(selector -> ShiftPlanner.turnedBack(selector, now));
+      default -> relabelOrDrain();
+    }
+  }
+
+  private long wallOfOperator() {
+    return instances.get(random.nextInt(INSTANCES)).wall();
+  }
+
+  private void change(java.util.function.UnaryOperator<Selector> change) {
+    try {
+      Selector changed = change.apply(configuration.selectors().getFirst());
+      publish(configuration.toBuilder().selectors(List.of(changed)).build());
+    } catch (WeirException notUnderWay) {
+      // The operator is told so and nothing changes.
+    }
+  }
+
+  private void relabelOrDrain() {
+    String chosen = "z" + random.nextInt(ZONES) + "s" + random.nextInt(SERVERS_PER_ZONE);
+    String tier = random.nextBoolean() ? "gold" : "iron";
+    boolean drained = random.nextInt(3) == 0;
+    List<BackendServer> changed =
+        configuration.backendServers().stream()
+            .map(
+                old ->
+                    old.name().equals(chosen)
+                        ? new BackendServer(
+                            chosen,
+                            "desk",
+                            old.availabilityZone(),
+                            "127.0.0.1",
+                            1,
+                            4,
+                            660,
+                            drained,
+                            tier(tier))
+                        : old)
+            .toList();
+    publish(configuration.toBuilder().backendServers(changed).build());
+  }
+
+  private void publish(Configuration changed) {
+    configuration = changed;
+    for (Instance instance : instances) {
+      Arrival last = instance.arrivals.peekLast();
+      long earliest = last == null ? round : last.round();
+      instance.arrivals.addLast(new Arrival(earliest + random.nextInt(SPREAD_ROUNDS), changed));
+    }
+  }
+
+  private Selector selector() {
+    List<Destination> destinations = new ArrayList<>();
+    for (int count = 0; count <= random.nextInt(3); count++) {
+      boolean byZone = random.nextBoolean();
+      LabelCondition condition =
+          byZone
+              ? new LabelCondition(
+                  LabelScope.ZONE, Optional.empty(), true, List.of("z" + random.nextInt(ZONES)))
+              : new LabelCondition(
+                  LabelScope.SERVER,
+                  Optional.of("tier"),
+                  false,
+                  List.of(random.nextBoolean() ? "gold" : "iron"));
+      destinations.add(new Destination(List.of(condition), 1 + random.nextInt(9)));
+    }
+    destinations.add(new Destination(List.of(), 1));
+    return Selector.builder("trade", "/", "desk")
+        .capPerSecond(CAP_PER_SECOND)
+        .destinations(destinations)
+        .build();
+  }
+
+  private static List<Label> tier(String value) {
+    return List.of(new Label("tier", value));
+  }
+
+  private static CellConditions.ServerCondition condition(int kind) {
+    return switch (kind) {
+      case 5 -> new CellConditions.ServerCondition(false, false, false, 0);
+      case 6 -> new CellConditions.ServerCondition(true, true, false, 0);
+      case 7 -> new CellConditions.ServerCondition(true, true, true, 0.95);
+      default -> new CellConditions.ServerCondition(true, true, true, 0.5);
+    };
+  }
+
+  private static boolean holds(CellCondition condition) {
+    return condition != CellCondition.READY;
+  }
+
+  private Map<CellKey, Double> fleet() {
+    Map<CellKey, Double> fleet = new HashMap<>();
+    instances.forEach(
+        instance ->
+            instance.shares.forEach(
+                (cell, share) -> fleet.merge(cell, share / INSTANCES, Double::sum)));
+    return fleet;
+  }
+
+  private static Map<CellKey, Double> byCell(SelectorPlan plan, double[] shares) {
+    Map<CellKey, Double> byCell = new HashMap<>();
+    for (int index = 0; index < shares.length; index++) {
+      byCell.merge(plan.cells().get(index).key(), shares[index], Double::sum);
+    }
+    return byCell;
+  }
+
+  private static double distance(Map<CellKey, Double> left, Map<CellKey, Double> right) {
+    Map<CellKey, Double> differences = new HashMap<>(left);
+    right.forEach((cell, share) -> differences.merge(cell, -share, Double::sum));
+    return differences.values().stream().mapToDouble(Math::abs).sum() / 2;
+  }
+}
