--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/backend/LoadHistory.java
@@ -0,0 +1,32 @@
+package org.corianderweir.bench.backend;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** Remembers how many requests ran, so that a report can be out of date. Thread-safe. */
+final class LoadHistory {
+  private static final int CAPACITY = 20_000;
+
+  private final Deque<Sample> samples = new ArrayDeque<>();
+
+  private record Sample(long nanoseconds, int inFlight) {}
+
+  synchronized void record(long nowNanoseconds, int inFlight) {
+    samples.addLast(new Sample(nowNanoseconds, inFlight));
+    if (samples.size() > CAPACITY) {
+      samples.removeFirst();
+    }
+  }
+
+  /** Returns the requests that ran at the given time; zero before the first sample. */
+  synchronized int at(long nanoseconds) {
+    var newestFirst = samples.descendingIterator();
+    while (newestFirst.hasNext()) {
+      Sample sample = newestFirst.next();
+      if (sample.nanoseconds() <= nanoseconds) {
+        return sample.inFlight();
+      }
+    }
+    return 0;
+  }
+}
--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/demo/DemonstrationCaller.java
@@ -0,0 +1,71 @@
+package org.corianderweir.bench.demo;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.corianderweir.bench.deployment.Deployment;
+import org.corianderweir.bench.process.FleetClient;
+import org.corianderweir.daemon.traffic.CallerHeaders;
+import org.corianderweir.daemon.traffic.TrafficService;
+import org.corianderweir.http.HttpAddress;
+import org.corianderweir.http.HttpCall;
+import org.corianderweir.http.HttpHeaders;
+import org.corianderweir.http.HttpReply;
+import org.corianderweir.model.request.LookupAnswer;
+import org.corianderweir.model.topology.EntryInstance;
+import org.corianderweir.protocol.Json;
+
+/** A caller that asks one entry instance after the other. */
+final class DemonstrationCaller {
+  private static final int STATUS_OK = 200;
+  private static final String CLIENT_ADDRESS = "127.9.9.9";
+
+  private final FleetClient client;
+  private final Deque<EntryInstance> instances;
+  private final AtomicInteger requestNumber = new AtomicInteger();
+
+  DemonstrationCaller(FleetClient client, Collection<EntryInstance> instances) {
+    this.client = client;
+    this.instances = new ArrayDeque<>(instances);
+  }
+
+  /** Leaves an entry instance out from now on. */
+  void forget(EntryInstance instance) {
+    instances.remove(instance);
+  }
+
+  /** Returns the names that a look-up answers; empty if there is no answer. */
+  List<String> lookup() {
+    String target = TrafficService.LOOKUP_PATH + "?client=" + CLIENT_ADDRESS;
+    return client
+        .call(address(instances.getFirst()), HttpCall.of("GET", target))
+        .filter(reply -> reply.status() == STATUS_OK)
+        .map(reply -> Json.read(reply.bodyText(), LookupAnswer.class))
+        .map(answer -> answer.entryInstances().stream().map(LookupAnswer.Endpoint::name).toList())
+        .orElse(List.of());
+  }
+
+  /** Sends a request to the next entry instance and returns the status; zero without answer. */
+  int send(Deployment.Route route, String key) {
+    EntryInstance next = instances.removeFirst();
+    instances.addLast(next);
+    return sendTo(next, route, key);
+  }
+
+  /** Sends a request to an entry instance and returns the status; zero without answer. */
+  int sendTo(EntryInstance instance, Deployment.Route route, String key) {
+    HttpHeaders headers =
+        HttpHeaders.NONE.with(CallerHeaders.REQUEST, "demo-" + requestNumber.incrementAndGet());
+    if (!key.isEmpty()) {
+      headers = headers.with(CallerHeaders.KEY, key);
+    }
+    HttpCall call = new HttpCall(route.method(), route.path(), headers, new byte[0]);
+    return client.call(address(instance), call).map(HttpReply::status).orElse(0);
+  }
+
+  private static HttpAddress address(EntryInstance instance) {
+    return new HttpAddress(instance.host(), instance.callerPort());
+  }
+}
--- a/weirbench/src/main/java/org/corianderweir/bench/process/ChildProcesses.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/process/ChildProcesses.java
@@ -58,6 +58,26 @@
     return process;
   }
 
+  /** Stops a process's threads until it is resumed. */
+  public void freeze(String name) {
+    signal("-STOP", get(name));
+  }
+
+  /** Lets a frozen process go on. */
+  public void resume(String name) {
+    signal("-CONT", get(name));
+  }
+
+  private static void signal(String signal, Process process) {
+    try {
+      new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   @Override
   public void close() {
     processes.values().forEach(Process::destroyForcibly);
--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/process/Fleet.java
@@ -0,0 +1,260 @@
+package org.corianderweir.bench.process;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import org.corianderweir.bench.BenchMain;
+import org.corianderweir.bench.backend.ServerPlan;
+import org.corianderweir.bench.deployment.Deployment;
+import org.corianderweir.bench.deployment.DeploymentLayout;
+import org.corianderweir.bench.network.NetworkRelay;
+import org.corianderweir.bench.network.NetworkRules;
+import org.corianderweir.bench.network.RelayTarget;
+import org.corianderweir.daemon.DaemonMain;
+import org.corianderweir.http.HttpAddress;
+import org.corianderweir.model.configuration.BackendServer;
+import org.corianderweir.model.platform.ListedInstance;
+import org.corianderweir.model.topology.EntryInstance;
+
+/**
+ * The processes of a run: the platform, one process of backend servers for each availability zone
+ * or for all, and the entry instances; between them, if wanted, the relays of the bench.
+ */
+public final class Fleet implements AutoCloseable {
+  private static final double COLD_FACTOR = 3;
+  private static final long CONNECTION_COST_NANOSECONDS = 1_000_000;
+  private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
+  private static final String ALL_SERVERS = "servers";
+
+  /** The name of the place of callers and operators, which are in no availability zone. */
+  public static final String OUTSIDE = "outside";
+
+  private final DeploymentLayout layout;
+  private final Options options;
+  private final ChildProcesses processes;
+  private final NetworkRules rules = new NetworkRules();
+  private final NetworkRelay relay;
+  private final FleetClient client = new FleetClient();
+
+  /**
+   * How a fleet is run.
+   *
+   * @param directory where settings and logs are written
+   * @param relayed whether the processes reach each other through relays
+   * @param serverProcessPerZone whether each zone's backend servers have a process of their own
+   * @param coldTime time after its start during which a backend server is slow
+   */
+  public record Options(
+      Path directory, boolean relayed, boolean serverProcessPerZone, Duration coldTime) {}
+
+  /** Prepares a fleet; nothing is started yet. */
+  public Fleet(DeploymentLayout layout, Options options) {
+    this.layout = layout;
+    this.options = options;
+    processes = new ChildProcesses(options.directory().toFile());
+    relay = new NetworkRelay(rules, this::zoneOfHost);
+  }
+
+  /** Starts all processes and the relays; does not wait until they serve. */
+  public void start() {
+    client.start();
+    HttpAddress platform = layout.platform();
+    processes.start(
+        "platform",
+        BenchMain.class,
+        List.of(
+            "platform", "--host", platform.host(), "--port", Integer.toString(platform.port())));
+    startServers();
+    if (options.relayed()) {
+      startRelays();
+    }
+    for (EntryInstance instance : layout.entryInstances()) {
+      startInstance(instance);
+    }
+  }
+
+  /** Starts the process of an entry instance. */
+  public void startInstance(EntryInstance instance) {
+    HttpAddress platform =
+        options.relayed() ? layout.relayOf(layout.platform()) : layout.platform();
+    Path settings =
+        SettingsFile.write(options.directory(), instance, platform, FleetClient.CREDENTIAL);
+    processes.start(instance.name(), DaemonMain.class, List.of("--settings", settings.toString()));
+  }
+
+  /** Returns the addresses of the run. */
+  public DeploymentLayout layout() {
+    return layout;
+  }
+
+  /** Returns the client that talks to the processes. */
+  public FleetClient client() {
+    return client;
+  }
+
+  /** Returns the processes. */
+  public ChildProcesses processes() {
+    return processes;
+  }
+
+  /** Returns the state of the network between the zones. */
+  public NetworkRules rules() {
+    return rules;
+  }
+
+  /** Aborts the answers of a backend server after some bytes; needs relays. */
+  public void limitAnswers(BackendServer server, long bytes) {
+    relay.limitAnswers(layout.relayOf(new HttpAddress(server.host(), server.port())), bytes);
+  }
+
+  /** Returns the name of the process that runs a zone's backend servers. */
+  public String serverProcess(String zone) {
+    return options.serverProcessPerZone() ? ALL_SERVERS + "-" + zone : ALL_SERVERS;
+  }
+
+  /** Puts all entry instances on the platform's list. */
+  public boolean publishInstances() {
+    List<ListedInstance> listed =
+        layout.entryInstances().stream()
+            .map(instance -> new ListedInstance(advertised(instance), false))
+            .toList();
+    return client.publishInstances(layout.platform(), listed);
+  }
+
+  /** Returns the backend servers with the addresses that entry instances use. */
+  public List<BackendServer> advertisedServers() {
+    return layout.backendServers().stream().map(this::advertised).toList();
+  }
+
+  @Override
+  public void close() {
+    processes.close();
+    relay.close();
+    client.close();
+  }
+
+  private void startServers() {
+    if (!options.serverProcessPerZone()) {
+      startServers(ALL_SERVERS, server -> true);
+      return;
+    }
+    for (Deployment.Zone zone : layout.deployment().zones()) {
+      startServers(
+          serverProcess(zone.name()), server -> server.availabilityZone().equals(zone.name()));
+    }
+  }
+
+  private void startServers(String process, Predicate<BackendServer> chosen) {
+    List<String> arguments = new ArrayList<>(List.of("backend"));
+    for (BackendServer server : layout.backendServers()) {
+      if (chosen.test(server)) {
+        arguments.add("--server");
+        arguments.add(plan(server).toArgument());
+      }
+    }
+    processes.start(process, BenchMain.class, arguments);
+  }
+
+  private ServerPlan plan(BackendServer server) {
+    long milliseconds = layout.service(server.service()).serviceMilliseconds();
+    return new ServerPlan(
+        server.name(),
+        server.host(),
+        server.port(),
+        server.slots(),
+        Duration.ofMillis(milliseconds),
+        options.coldTime(),
+        COLD_FACTOR);
+  }
+
+  private void startRelays() {
+    setLatencies();
+    relay.start();
+    HttpAddress platform = layout.platform();
+    relay.add(RelayTarget.plain(layout.relayOf(platform), platform, platformPlace()));
+    for (BackendServer server : layout.backendServers()) {
+      HttpAddress address = new HttpAddress(server.host(), server.port());
+      relay.add(
+          new RelayTarget(
+              layout.relayOf(address),
+              address,
+              server.availabilityZone(),
+              server.connectionLimit(),
+              CONNECTION_COST_NANOSECONDS));
+    }
+    for (EntryInstance instance : layout.entryInstances()) {
+      HttpAddress address = new HttpAddress(instance.host(), instance.peerPort());
+      relay.add(RelayTarget.plain(layout.relayOf(address), address, instance.availabilityZone()));
+    }
+  }
+
+  private void setLatencies() {
+    for (Deployment.Zone from : layout.deployment().zones()) {
+      for (Deployment.Zone to : layout.deployment().zones()) {
+        rules.setDelay(new NetworkRules.Direction(from.name(), to.name()), latency(from, to));
+      }
+      Deployment.Zone store = layout.zone(layout.deployment().storeZone());
+      String platform = platformPlace();
+      rules.setDelay(new NetworkRules.Direction(from.name(), platform), latency(from, store));
+      rules.setDelay(new NetworkRules.Direction(platform, from.name()), latency(store, from));
+    }
+  }
+
+  /** Returns the name of the platform's place in the network. */
+  public String platformPlace() {
+    return layout.deployment().storeZone() + "-platform";
+  }
+
+  private long latency(Deployment.Zone from, Deployment.Zone to) {
+    Deployment.Latency latency = layout.deployment().latency();
+    if (from.name().equals(to.name())) {
+      return 0;
+    }
+    double milliseconds =
+        from.region().equals(to.region()) ? latency.betweenZones() : latency.betweenRegions();
+    return (long) (milliseconds * NANOSECONDS_PER_MILLISECOND);
+  }
+
+  private String zoneOfHost(String host) {
+    String prefix = host.substring(0, host.lastIndexOf('.'));
+    return layout.deployment().zones().stream()
+        .filter(zone -> zone.prefix().equals(prefix))
+        .map(Deployment.Zone::name)
+        .findFirst()
+        .orElse(OUTSIDE);
+  }
+
+  private EntryInstance advertised(EntryInstance instance) {
+    if (!options.relayed()) {
+      return instance;
+    }
+    HttpAddress peer = layout.relayOf(new HttpAddress(instance.host(), instance.peerPort()));
+    return new EntryInstance(
+        instance.name(),
+        instance.region(),
+        instance.availabilityZone(),
+        instance.host(),
+        instance.callerPort(),
+        instance.operatorPort(),
+        peer.port());
+  }
+
+  private BackendServer advertised(BackendServer server) {
+    if (!options.relayed()) {
+      return server;
+    }
+    HttpAddress relayed = layout.relayOf(new HttpAddress(server.host(), server.port()));
+    return new BackendServer(
+        server.name(),
+        server.service(),
+        server.availabilityZone(),
+        relayed.host(),
+        relayed.port(),
+        server.slots(),
+        server.connectionLimit(),
+        server.drained(),
+        server.labels());
+  }
+}
--- /dev/null
+++ b/weirbench/src/test/java/org/corianderweir/bench/deployment/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the deployment files. */
+package org.corianderweir.bench.deployment;
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -43,10 +43,11 @@
     platformClient =
         new HttpClient(
             new HttpClientOptions(
-                "platform",
-                PLATFORM_CONNECT_TIMEOUT,
-                PLATFORM_IDLE_LIFETIME,
-                PLATFORM_ANSWER_LIMIT_BYTES));
+                    "platform",
+                    PLATFORM_CONNECT_TIMEOUT,
+                    PLATFORM_IDLE_LIFETIME,
+                    PLATFORM_ANSWER_LIMIT_BYTES)
+                .from(self.host()));
     HttpPlatformService platform = new HttpPlatformService(platformClient, settings.platform());
     ControlService control = new ControlService(events);
     ConfigurationService configuration = new ConfigurationService(platform, control.loop(), events);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
@@ -69,7 +69,8 @@
     this.time = time;
     client =
         new HttpClient(
-            new HttpClientOptions("backend", CONNECT_TIMEOUT, IDLE_LIFETIME, ANSWER_LIMIT_BYTES));
+            new HttpClientOptions("backend", CONNECT_TIMEOUT, IDLE_LIFETIME, ANSWER_LIMIT_BYTES)
+                .from(self.host()));
     pipeline = new RequestPipeline(self.name(), client, limits, events, metrics, time);
     listener =
         new HttpListener(
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
@@ -27,6 +28,7 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import org.jspecify.annotations.Nullable;
 
 /**
  * An HTTP client with pooled connections. A connection is used for one exchange at a time and only
@@ -141,6 +143,7 @@
     try {
       transport.connect(
           new InetSocketAddress(exchange.address.host(), exchange.address.port()),
+          localAddress(),
           new EmptyCompletionHandler<Connection>() {
             @Override
             public void completed(Connection connection) {
@@ -157,6 +160,10 @@
     }
   }
 
+  private @Nullable SocketAddress localAddress() {
+    return options.localHost().map(host -> new InetSocketAddress(host, 0)).orElse(null);
+  }
+
   /** One request and its answer. */
   final class Exchange {
     private final HttpAddress address;
