--- a/weirbench/src/test/java/org/corianderweir/bench/deployment/DeploymentReaderTest.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/deployment/DeploymentReaderTest.java
@@ -11,6 +11,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+/** Tests {@link DeploymentReader}. */
 public final class DeploymentReaderTest {
   private record Shape(
       int zones, long regions, int instances, List<Integer> servers, int organisations) {}
