Platform: deletion, leases, faults on demand, one contract for fake and stand-in

Cause: outages, slowness, lost answers, frozen leases, a lagging list and the rates of the platform could not be brought about; a client could not tell a call that certainly did nothing from one that may have taken effect.

FaultyPlatform wraps the store; PlatformStandIn switches it over PUT /faults and counts calls at GET /calls. A missing or null name in JSON is now an error, as Json promised; it was read as null before.

--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -10,7 +10,9 @@
 import java.util.concurrent.CountDownLatch;
 import org.corianderweir.bench.backend.BackendStandIn;
 import org.corianderweir.bench.demo.Demonstration;
+import org.corianderweir.bench.platform.PlatformRates;
 import org.corianderweir.bench.platform.PlatformStandIn;
+import org.corianderweir.daemon.SystemTimeSource;
 
 /** The program {@code weirbench}: stand-ins and experiments, each a command. */
 public final class BenchMain {
@@ -31,9 +33,16 @@
     @Parameter(names = "--port", required = true, description = "TCP port to listen on")
     private int port;
 
+    @Parameter(names = "--writes-per-second", description = "writes above are refused")
+    private int writesPerSecond = PlatformRates.USUAL.writesPerSecond();
+
+    @Parameter(names = "--reads-per-second", description = "reads above are refused")
+    private int readsPerSecond = PlatformRates.USUAL.readsPerSecond();
+
     @Override
     public int run() throws InterruptedException {
-      new PlatformStandIn(host, port).start();
+      PlatformRates rates = new PlatformRates(writesPerSecond, readsPerSecond);
+      new PlatformStandIn(host, port, rates, new SystemTimeSource()).start();
       new CountDownLatch(1).await();
       return 0;
     }
--- a/weirbench/src/main/java/org/corianderweir/bench/platform/InMemoryPlatform.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/platform/InMemoryPlatform.java
@@ -9,7 +9,9 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.platform.PlatformService;
+import org.corianderweir.model.platform.LeaseResult;
 import org.corianderweir.model.platform.ListedInstance;
 import org.corianderweir.model.platform.StoredValue;
 import org.corianderweir.model.platform.WriteResult;
@@ -17,12 +19,23 @@
 /** The platform's service in memory. Thread-safe. */
 public final class InMemoryPlatform implements PlatformService {
   private final Map<String, StoredValue> values = new TreeMap<>();
+  private final Map<String, Long> latestVersions = new TreeMap<>();
+  private final Map<String, Lease> leases = new TreeMap<>();
   private final List<Watcher> watchers = new ArrayList<>();
+  private final TimeSource time;
   private List<ListedInstance> instances = List.of();
+  private boolean leasesFrozen;
 
   private record Watcher(
       String key, long knownVersion, CompletableFuture<Optional<StoredValue>> answer) {}
 
+  private record Lease(String holder, long token, long endNanoseconds) {}
+
+  /** Creates an empty store whose leases end by the given clock. */
+  public InMemoryPlatform(TimeSource time) {
+    this.time = time;
+  }
+
   @Override
   public synchronized CompletableFuture<Optional<StoredValue>> read(String key) {
     return CompletableFuture.completedFuture(Optional.ofNullable(values.get(key)));
@@ -34,12 +47,11 @@
     List<Watcher> due = new ArrayList<>();
     StoredValue written;
     synchronized (this) {
-      StoredValue current = values.get(key);
-      long version = current == null ? 0 : current.version();
+      long version = currentVersion(key);
       if (version != expectedVersion) {
         return CompletableFuture.completedFuture(new WriteResult.Conflict(version));
       }
-      written = new StoredValue(version + 1, value);
+      written = new StoredValue(latestVersions.merge(key, 1L, Long::sum), value);
       values.put(key, written);
       takeDueWatchers(key, written.version(), due);
     }
@@ -47,6 +59,16 @@
     return CompletableFuture.completedFuture(new WriteResult.Written(written.version()));
   }
 
+  @Override
+  public synchronized CompletableFuture<WriteResult> delete(String key, long expectedVersion) {
+    long version = currentVersion(key);
+    if (version != expectedVersion) {
+      return CompletableFuture.completedFuture(new WriteResult.Conflict(version));
+    }
+    values.remove(key);
+    return CompletableFuture.completedFuture(new WriteResult.Written(version));
+  }
+
   @Override
   public synchronized CompletableFuture<Optional<StoredValue>> watch(
       String key, long knownVersion, Duration patience) {
@@ -62,6 +84,29 @@
     return answer;
   }
 
+  @Override
+  public synchronized CompletableFuture<LeaseResult> acquireLease(
+      String name, String holder, Duration duration) {
+    long now = time.monotonicNanoseconds();
+    Lease current = leases.get(name);
+    boolean held = current != null && (leasesFrozen || current.endNanoseconds() - now > 0);
+    if (current != null && held && !current.holder().equals(holder)) {
+      return CompletableFuture.completedFuture(new LeaseResult.HeldByOther(current.holder()));
+    }
+    long token = current == null ? 1 : current.token() + (held ? 0 : 1);
+    leases.put(name, new Lease(holder, token, now + duration.toNanos()));
+    return CompletableFuture.completedFuture(new LeaseResult.Granted(token));
+  }
+
+  @Override
+  public synchronized CompletableFuture<Void> releaseLease(String name, String holder) {
+    Lease current = leases.get(name);
+    if (current != null && current.holder().equals(holder)) {
+      leases.put(name, new Lease("", current.token(), time.monotonicNanoseconds()));
+    }
+    return CompletableFuture.completedFuture(null);
+  }
+
   @Override
   public synchronized CompletableFuture<List<ListedInstance>> listInstances() {
     return CompletableFuture.completedFuture(instances);
@@ -72,6 +117,21 @@
     instances = List.copyOf(changed);
   }
 
+  /** While leases are frozen none of them ends, even if its holder is gone. */
+  public synchronized void setLeasesFrozen(boolean frozen) {
+    leasesFrozen = frozen;
+  }
+
+  /** Returns the keys that have a value. */
+  public synchronized List<String> keys() {
+    return List.copyOf(values.keySet());
+  }
+
+  private long currentVersion(String key) {
+    StoredValue current = values.get(key);
+    return current == null ? 0 : current.version();
+  }
+
   private void takeDueWatchers(String key, long version, List<Watcher> due) {
     Iterator<Watcher> iterator = watchers.iterator();
     while (iterator.hasNext()) {
--- /dev/null
+++ b/weirbench/src/test/java/org/corianderweir/bench/platform/InMemoryPlatformTest.java
@@ -0,0 +1,34 @@
+package org.corianderweir.bench.platform;
+
+import java.util.List;
+import org.corianderweir.logic.platform.PlatformService;
+import org.corianderweir.model.ErrorCode;
+import org.corianderweir.model.platform.ListedInstance;
+
+/** Holds the fake to the contract. */
+public class InMemoryPlatformTest extends PlatformContract {
+  private InMemoryPlatform memory;
+  private FaultyPlatform platform;
+
+  @Override
+  PlatformService service() {
+    memory = new InMemoryPlatform(time);
+    platform = new FaultyPlatform(memory, RATES, time);
+    return platform;
+  }
+
+  @Override
+  FaultyPlatform faulty() {
+    return platform;
+  }
+
+  @Override
+  void setInstances(List<ListedInstance> instances) {
+    memory.setInstances(instances);
+  }
+
+  @Override
+  ErrorCode lostAnswerCode() {
+    return ErrorCode.ANSWER_LOST;
+  }
+}
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -48,7 +48,9 @@
                 PLATFORM_CONNECT_TIMEOUT,
                 PLATFORM_IDLE_LIFETIME,
                 PLATFORM_ANSWER_LIMIT_BYTES));
-    HttpPlatformService platform = new HttpPlatformService(platformClient, settings.platform());
+    HttpPlatformService platform =
+        new HttpPlatformService(
+            platformClient, settings.platform(), metrics.meter("platform.calls"));
     ControlService control = new ControlService(events);
     ConfigurationService configuration = new ConfigurationService(platform, control.loop(), events);
     PeerTransport transport =
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/platform/HttpPlatformService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/platform/HttpPlatformService.java
@@ -1,11 +1,13 @@
 package org.corianderweir.daemon.platform;
 
+import com.codahale.metrics.Meter;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import org.corianderweir.http.HttpAddress;
 import org.corianderweir.http.HttpCall;
 import org.corianderweir.http.HttpClient;
@@ -14,6 +16,7 @@
 import org.corianderweir.logic.platform.PlatformService;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
+import org.corianderweir.model.platform.LeaseResult;
 import org.corianderweir.model.platform.ListedInstance;
 import org.corianderweir.model.platform.StoredValue;
 import org.corianderweir.model.platform.WriteResult;
@@ -28,15 +31,25 @@
 
   private final HttpClient client;
   private final HttpAddress address;
+  private final Meter calls;
 
   private record Version(long version) {}
 
+  private record Token(long token) {}
+
+  private record Holder(String holder) {}
+
   private record InstanceList(List<ListedInstance> instances) {}
 
-  /** Creates a client of the service at an address. */
-  public HttpPlatformService(HttpClient client, HttpAddress address) {
+  /**
+   * Creates a client of the service at an address.
+   *
+   * @param calls counts the calls; a watch is one
+   */
+  public HttpPlatformService(HttpClient client, HttpAddress address, Meter calls) {
     this.client = client;
     this.address = address;
+    this.calls = calls;
   }
 
   @Override
@@ -60,19 +73,43 @@
             target(key) + "?expected-version=" + expectedVersion,
             HttpHeaders.NONE,
             value.getBytes(StandardCharsets.UTF_8));
-    return client.exchange(address, call, CALL_TIMEOUT).thenApply(this::writeResult);
+    return exchange(call, CALL_TIMEOUT).thenApply(this::writeResult);
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> delete(String key, long expectedVersion) {
+    HttpCall call = HttpCall.of("DELETE", target(key) + "?expected-version=" + expectedVersion);
+    return exchange(call, CALL_TIMEOUT).thenApply(this::writeResult);
+  }
+
+  @Override
+  public CompletableFuture<LeaseResult> acquireLease(
+      String name, String holder, Duration duration) {
+    String query = "&milliseconds=" + duration.toMillis();
+    HttpCall call = HttpCall.of("POST", leaseTarget(name, holder) + query);
+    return exchange(call, CALL_TIMEOUT)
+        .thenApply(
+            reply ->
+                reply.status() == STATUS_CONFLICT
+                    ? new LeaseResult.HeldByOther(
+                        Json.read(reply.bodyText(), Holder.class).holder())
+                    : new LeaseResult.Granted(Json.read(okBody(reply), Token.class).token()));
+  }
+
+  @Override
+  public CompletableFuture<Void> releaseLease(String name, String holder) {
+    return exchange(HttpCall.of("DELETE", leaseTarget(name, holder)), CALL_TIMEOUT)
+        .thenAccept(HttpPlatformService::okBody);
   }
 
   @Override
   public CompletableFuture<List<ListedInstance>> listInstances() {
-    return client
-        .exchange(address, HttpCall.of("GET", "/instances"), CALL_TIMEOUT)
+    return exchange(HttpCall.of("GET", "/instances"), CALL_TIMEOUT)
         .thenApply(reply -> Json.read(okBody(reply), InstanceList.class).instances());
   }
 
   private CompletableFuture<Optional<StoredValue>> readTarget(String target, Duration timeout) {
-    return client
-        .exchange(address, HttpCall.of("GET", target), timeout)
+    return exchange(HttpCall.of("GET", target), timeout)
         .thenApply(
             reply ->
                 reply.status() == STATUS_ABSENT
@@ -80,6 +117,29 @@
                     : Optional.of(Json.read(okBody(reply), StoredValue.class)));
   }
 
+  private CompletableFuture<HttpReply> exchange(HttpCall call, Duration timeout) {
+    calls.mark();
+    return client.exchange(address, call, timeout).exceptionallyCompose(this::typed);
+  }
+
+  /** A connection that could not be opened means that the service certainly did nothing. */
+  private CompletableFuture<HttpReply> typed(Throwable failure) {
+    Throwable cause =
+        failure instanceof CompletionException && failure.getCause() != null
+            ? failure.getCause()
+            : failure;
+    boolean notSent = cause instanceof WeirException known && isNotSent(known);
+    return CompletableFuture.failedFuture(
+        notSent
+            ? new WeirException(
+                ErrorCode.PLATFORM_UNAVAILABLE, "the platform is unreachable", cause)
+            : cause);
+  }
+
+  private static boolean isNotSent(WeirException failure) {
+    return failure.code() == ErrorCode.CONNECT_FAILED;
+  }
+
   private WriteResult writeResult(HttpReply reply) {
     if (reply.status() == STATUS_CONFLICT) {
       return new WriteResult.Conflict(Json.read(reply.bodyText(), Version.class).version());
@@ -96,6 +156,14 @@
   }
 
   private static String target(String key) {
-    return "/values/" + URLEncoder.encode(key, StandardCharsets.UTF_8);
+    return "/values/" + encode(key);
+  }
+
+  private static String leaseTarget(String name, String holder) {
+    return "/leases/" + encode(name) + "?holder=" + encode(holder);
+  }
+
+  private static String encode(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8);
   }
 }
--- a/weirlib/src/main/java/org/corianderweir/logic/platform/PlatformService.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/platform/PlatformService.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.corianderweir.model.platform.LeaseResult;
 import org.corianderweir.model.platform.ListedInstance;
 import org.corianderweir.model.platform.StoredValue;
 import org.corianderweir.model.platform.WriteResult;
@@ -34,6 +35,23 @@
    */
   CompletableFuture<Optional<StoredValue>> watch(String key, long knownVersion, Duration patience);
 
+  /**
+   * Deletes a key if its version is the expected one. A key that is written again later goes on
+   * with a higher version, so that an old expectation never fits.
+   */
+  CompletableFuture<WriteResult> delete(String key, long expectedVersion);
+
+  /**
+   * Acquires a lease, or renews it if the holder has it already.
+   *
+   * <p>The holder counts the duration from the moment at which it sent the call, never from the
+   * answer.
+   */
+  CompletableFuture<LeaseResult> acquireLease(String name, String holder, Duration duration);
+
+  /** Gives a lease back; nothing happens if the holder does not have it. */
+  CompletableFuture<Void> releaseLease(String name, String holder);
+
   /** Reads the list of entry instances. */
   CompletableFuture<List<ListedInstance>> listInstances();
 }
--- a/weirlib/src/main/java/org/corianderweir/protocol/Json.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/Json.java
@@ -15,6 +15,7 @@
           .addModule(new Jdk8Module())
           .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
           .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+          .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
           .build();
 
