--- /dev/null
+++ b/weirlib/src/test/java/org/corianderweir/logic/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the operators' configuration. */
+package org.corianderweir.logic.configuration;
