--- a/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -49,7 +49,9 @@
                     PLATFORM_IDLE_LIFETIME,
                     PLATFORM_ANSWER_LIMIT_BYTES)
                 .from(self.host()));
-    HttpPlatformService platform = new HttpPlatformService(platformClient, settings.platform());
+    HttpPlatformService platform =
+        new HttpPlatformService(
+            platformClient, settings.platform(), metrics.meter("platform.calls"));
     ControlService control = new ControlService(events);
     ConfigurationService configuration = new ConfigurationService(platform, control.loop(), events);
     PeerTransport transport =
