Changes of selectors, labels, organisations and shifts; weights in force at each instance

Cause: operators had only a replacement of the whole configuration, which moved traffic at once. A replacement and a new selector now start from where the traffic is; a removal that would make it jump is refused. SteeringService moves the weights each 200 ms on the control thread.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -12,6 +12,7 @@
 import org.corianderweir.daemon.peer.PeerTransport;
 import org.corianderweir.daemon.platform.HttpPlatformService;
 import org.corianderweir.daemon.settings.DaemonSettings;
+import org.corianderweir.daemon.steering.SteeringService;
 import org.corianderweir.daemon.traffic.TrafficService;
 import org.corianderweir.http.HttpClient;
 import org.corianderweir.http.HttpClientOptions;
@@ -55,8 +56,11 @@
         new MembershipService(
             self, platform, control.loop(), events, configuration, transport, time);
     LimitService limits = new LimitService(configuration);
+    SteeringService steering =
+        new SteeringService(self.region(), configuration, control.loop(), events, time);
     TrafficService traffic =
-        new TrafficService(self, configuration, membership, limits, events, metrics, time);
+        new TrafficService(
+            self, configuration, membership, limits, steering, events, metrics, time);
     OperatorService operators =
         new OperatorService(
             settings, configuration, membership, events, metrics, stopRequested::countDown);
@@ -67,6 +71,7 @@
         .register(PeerTransport.NAME, transport)
         .register(MembershipService.NAME, membership)
         .register(LimitService.NAME, limits)
+        .register(SteeringService.NAME, steering)
         .register(OperatorService.NAME, operators)
         .register(TrafficService.NAME, traffic);
   }
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/steering/SteeringService.java
@@ -0,0 +1,113 @@
+package org.corianderweir.daemon.steering;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.corianderweir.daemon.control.ConfigurationService;
+import org.corianderweir.daemon.control.EventLog;
+import org.corianderweir.kernel.ControlLoop;
+import org.corianderweir.kernel.Service;
+import org.corianderweir.kernel.ServiceDirectory;
+import org.corianderweir.kernel.ServiceName;
+import org.corianderweir.kernel.TimeSource;
+import org.corianderweir.logic.steering.CellConditions;
+import org.corianderweir.logic.steering.ShiftState;
+import org.corianderweir.logic.steering.SteeringTable;
+import org.corianderweir.logic.steering.SteeringTracker;
+import org.corianderweir.model.configuration.Configuration;
+import org.corianderweir.model.timeline.EventCode;
+
+/** Moves the weights of this entry instance on the control thread and publishes them. */
+public final class SteeringService implements Service {
+  /** The name of this service. */
+  public static final ServiceName<SteeringService> NAME =
+      new ServiceName<>("steering", SteeringService.class);
+
+  private static final Duration STEP_PERIOD = Duration.ofMillis(200);
+  private static final CellConditions.ServerView ASSUMED_READY =
+      server -> new CellConditions.ServerCondition(true, true, true, 0);
+
+  private final ConfigurationService configuration;
+  private final ControlLoop loop;
+  private final EventLog events;
+  private final TimeSource time;
+  private final SteeringTracker tracker;
+  private final Map<String, ShiftState> shiftStates = new HashMap<>();
+  private volatile SteeringTable table = SteeringTable.EMPTY;
+  private volatile CellConditions.ServerView servers = ASSUMED_READY;
+
+  /**
+   * Creates the service; it steers nothing yet.
+   *
+   * @param region region of this entry instance
+   */
+  public SteeringService(
+      String region,
+      ConfigurationService configuration,
+      ControlLoop loop,
+      EventLog events,
+      TimeSource time) {
+    this.configuration = configuration;
+    this.loop = loop;
+    this.events = events;
+    this.time = time;
+    tracker = new SteeringTracker(region, time.monotonicNanoseconds());
+  }
+
+  /** Returns the weights in force; any thread may call this. */
+  public SteeringTable table() {
+    return table;
+  }
+
+  /** Sets where the condition of backend servers is read; the view must be thread-safe. */
+  public void watch(CellConditions.ServerView view) {
+    servers = view;
+  }
+
+  /** Returns the condition of backend servers; any thread may call this. */
+  public CellConditions.ServerView servers() {
+    return servers;
+  }
+
+  @Override
+  public List<ServiceName<?>> dependencies() {
+    return List.of(ConfigurationService.NAME);
+  }
+
+  @Override
+  public void start(ServiceDirectory directory) {
+    configuration.onChange(this::adopt);
+    loop.every(STEP_PERIOD, this::step);
+  }
+
+  @Override
+  public void stop() {}
+
+  private void adopt(Configuration changed) {
+    tracker.adopt(changed, time.wallMilliseconds());
+    step();
+  }
+
+  private void step() {
+    long wall = time.wallMilliseconds();
+    table = tracker.step(servers, time.monotonicNanoseconds(), wall);
+    for (SteeringTable.Weights weights : table.weights()) {
+      String selector = weights.plan().selector().name();
+      ShiftState state = ShiftState.of(weights, wall);
+      ShiftState before = shiftStates.put(selector, state);
+      if (state != before && (before != null || state != ShiftState.SETTLED)) {
+        events.record(event(state), selector, "");
+      }
+    }
+  }
+
+  private static EventCode event(ShiftState state) {
+    return switch (state) {
+      case SETTLED -> EventCode.SHIFT_SETTLED;
+      case MOVING -> EventCode.SHIFT_MOVING;
+      case HELD -> EventCode.SHIFT_HELD;
+      case PAUSED -> EventCode.SHIFT_PAUSED;
+    };
+  }
+}
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestPipeline.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestPipeline.java
@@ -134,7 +134,10 @@
   }
 
   private CompletableFuture<HttpReply> deliver(RequestContext context) {
-    List<BackendServer> candidates = context.snapshot().candidates(context.selector().service());
+    List<BackendServer> candidates =
+        context
+            .snapshot()
+            .candidates(context.selector().name(), ThreadLocalRandom.current().nextDouble());
     Optional<BackendServer> chosen =
         ServerChooser.choose(candidates, inFlight, ThreadLocalRandom.current());
     long remaining = context.deadlineNanoseconds() - time.monotonicNanoseconds();
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
@@ -8,6 +8,7 @@
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.daemon.control.LimitService;
 import org.corianderweir.daemon.control.MembershipService;
+import org.corianderweir.daemon.steering.SteeringService;
 import org.corianderweir.http.HttpCall;
 import org.corianderweir.http.HttpClient;
 import org.corianderweir.http.HttpClientOptions;
@@ -19,6 +20,7 @@
 import org.corianderweir.kernel.ServiceName;
 import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.lookup.EntrySelector;
+import org.corianderweir.logic.steering.SteeringTable;
 import org.corianderweir.model.configuration.Configuration;
 import org.corianderweir.model.request.LookupAnswer;
 import org.corianderweir.model.request.RefusalReason;
@@ -48,11 +50,13 @@
   private final EntryInstance self;
   private final ConfigurationService configuration;
   private final MembershipService membership;
+  private final SteeringService steering;
   private final TimeSource time;
   private final HttpClient client;
   private final HttpListener listener;
   private final RequestPipeline pipeline;
-  private volatile TrafficSnapshot snapshot = TrafficSnapshot.of(Configuration.EMPTY);
+  private volatile TrafficSnapshot snapshot =
+      TrafficSnapshot.of(Configuration.EMPTY, () -> SteeringTable.EMPTY);
 
   /** Creates the service; it does not listen yet. */
   public TrafficService(
@@ -60,12 +64,14 @@
       ConfigurationService configuration,
       MembershipService membership,
       LimitService limits,
+      SteeringService steering,
       EventLog events,
       MetricRegistry metrics,
       TimeSource time) {
     this.self = self;
     this.configuration = configuration;
     this.membership = membership;
+    this.steering = steering;
     this.time = time;
     client =
         new HttpClient(
@@ -80,12 +86,12 @@
 
   @Override
   public List<ServiceName<?>> dependencies() {
-    return List.of(MembershipService.NAME, LimitService.NAME);
+    return List.of(MembershipService.NAME, LimitService.NAME, SteeringService.NAME);
   }
 
   @Override
   public void start(ServiceDirectory directory) {
-    configuration.onChange(changed -> snapshot = TrafficSnapshot.of(changed));
+    configuration.onChange(changed -> snapshot = TrafficSnapshot.of(changed, steering::table));
     client.start();
     listener.start();
   }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficSnapshot.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficSnapshot.java
@@ -1,10 +1,11 @@
 package org.corianderweir.daemon.traffic;
 
 import java.util.List;
-import java.util.Map;
-import java.util.stream.Collectors;
+import java.util.function.Supplier;
 import org.corianderweir.logic.keys.KeyDirectory;
 import org.corianderweir.logic.steering.RouteFinder;
+import org.corianderweir.logic.steering.SteeringDecision;
+import org.corianderweir.logic.steering.SteeringTable;
 import org.corianderweir.model.configuration.BackendServer;
 import org.corianderweir.model.configuration.Configuration;
 
@@ -14,27 +15,33 @@
  * @param configuration the configuration in force
  * @param keys keys in force
  * @param routes selectors in force
- * @param serversByService backend servers that may get new requests
+ * @param steering weights in force, which move while the configuration stays
  */
 record TrafficSnapshot(
     Configuration configuration,
     KeyDirectory keys,
     RouteFinder routes,
-    Map<String, List<BackendServer>> serversByService) {
+    Supplier<SteeringTable> steering) {
 
-  static TrafficSnapshot of(Configuration configuration) {
-    Map<String, List<BackendServer>> servers =
-        configuration.backendServers().stream()
-            .filter(server -> !server.drained())
-            .collect(Collectors.groupingBy(BackendServer::service));
+  static TrafficSnapshot of(Configuration configuration, Supplier<SteeringTable> steering) {
     return new TrafficSnapshot(
         configuration,
         new KeyDirectory(configuration.keys()),
         new RouteFinder(configuration.selectors()),
-        servers);
+        steering);
   }
 
-  List<BackendServer> candidates(String service) {
-    return serversByService.getOrDefault(service, List.of());
+  /**
+   * Returns the backend servers that a request may go to at present; none while the share of the
+   * traffic that it belongs to moves away from servers that are gone.
+   *
+   * @param selector name of the selector that covers the request
+   * @param draw uniform random number from 0 up to 1, drawn once for each request
+   */
+  List<BackendServer> candidates(String selector, double draw) {
+    return switch (steering.get().steer(selector, draw)) {
+      case SteeringDecision.Candidates found -> found.cell().servers();
+      case SteeringDecision.NotNow notNow -> List.of();
+    };
   }
 }
--- a/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationChange.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationChange.java
@@ -4,7 +4,13 @@
 import org.corianderweir.model.configuration.Configuration;
 
 /** A change that an operator asks for. */
-public sealed interface ConfigurationChange {
+public sealed interface ConfigurationChange
+    permits ConfigurationChange.Replace,
+        ConfigurationChange.AddKey,
+        ConfigurationChange.WithdrawKey,
+        ConfigurationChange.SetDrained,
+        OrganisationChange,
+        SteeringChange {
   /**
    * Replaces everything.
    *
--- a/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationEditor.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationEditor.java
@@ -28,6 +28,8 @@
               current.toBuilder().keys(withdrawn(current, withdraw));
           case ConfigurationChange.SetDrained drain ->
               current.toBuilder().backendServers(drained(current, drain));
+          case OrganisationChange organisation -> OrganisationEditor.apply(current, organisation);
+          case SteeringChange steering -> SteeringEditor.apply(current, steering);
         };
     return changed.revision(current.revision() + 1).operation(operation).build();
   }
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/configuration/OrganisationChange.java
@@ -0,0 +1,20 @@
+package org.corianderweir.logic.configuration;
+
+import org.corianderweir.model.configuration.Organisation;
+
+/** A change of the organisations. */
+public sealed interface OrganisationChange extends ConfigurationChange {
+  /**
+   * Adds an organisation or replaces the one of that name.
+   *
+   * @param organisation the organisation
+   */
+  record SetOrganisation(Organisation organisation) implements OrganisationChange {}
+
+  /**
+   * Removes an organisation that no key and no selector names.
+   *
+   * @param organisation name of the organisation
+   */
+  record RemoveOrganisation(String organisation) implements OrganisationChange {}
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/configuration/OrganisationEditor.java
@@ -0,0 +1,57 @@
+package org.corianderweir.logic.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.corianderweir.model.ErrorCode;
+import org.corianderweir.model.WeirException;
+import org.corianderweir.model.configuration.Configuration;
+import org.corianderweir.model.configuration.Organisation;
+
+/** Applies changes of organisations. Pure functions. */
+final class OrganisationEditor {
+  private OrganisationEditor() {}
+
+  static Configuration.Builder apply(Configuration current, OrganisationChange change) {
+    return switch (change) {
+      case OrganisationChange.SetOrganisation set ->
+          current.toBuilder().organisations(with(current, set.organisation()));
+      case OrganisationChange.RemoveOrganisation remove ->
+          current.toBuilder().organisations(without(current, remove.organisation()));
+    };
+  }
+
+  private static List<Organisation> with(Configuration current, Organisation wanted) {
+    if (wanted.name().isBlank()) {
+      throw invalid("an organisation needs a name");
+    }
+    if (!(wanted.requestsPerSecond() > 0) || wanted.burst() < 1) {
+      throw invalid("organisation " + wanted.name() + ": rate above 0 and burst of at least 1");
+    }
+    List<Organisation> organisations = new ArrayList<>(current.organisations());
+    organisations.removeIf(known -> known.name().equals(wanted.name()));
+    organisations.add(wanted);
+    return organisations;
+  }
+
+  private static List<Organisation> without(Configuration current, String name) {
+    if (current.keys().stream().anyMatch(key -> key.organisation().equals(name))) {
+      throw invalid("organisation " + name + " has keys in force; withdraw them first");
+    }
+    current.selectors().stream()
+        .filter(selector -> selector.organisations().contains(name))
+        .findFirst()
+        .ifPresent(
+            selector -> {
+              throw invalid("selector " + selector.name() + " names organisation " + name);
+            });
+    List<Organisation> organisations = new ArrayList<>(current.organisations());
+    if (!organisations.removeIf(known -> known.name().equals(name))) {
+      throw invalid("no organisation " + name);
+    }
+    return organisations;
+  }
+
+  private static WeirException invalid(String message) {
+    return new WeirException(ErrorCode.CONFIGURATION_INVALID, message);
+  }
+}
--- a/weirlib/src/main/java/org/corianderweir/logic/steering/ShiftPlanner.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/steering/ShiftPlanner.java
@@ -1,5 +1,7 @@
 package org.corianderweir.logic.steering;
 
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.corianderweir.model.ErrorCode;
@@ -75,6 +77,15 @@
     return changed(selector, wanted, wallMilliseconds);
   }
 
+  /** Returns the selector whose traffic a new one takes over, if both use the same service. */
+  public static Optional<Selector> covering(Collection<Selector> selectors, Selector added) {
+    return selectors.stream()
+        .filter(other -> !other.name().equals(added.name()))
+        .filter(other -> added.pathPrefix().startsWith(other.pathPrefix()))
+        .max(Comparator.comparingInt(other -> other.pathPrefix().length()))
+        .filter(other -> other.service().equals(added.service()));
+  }
+
   private static Selector restarted(
       Selector selector, Shift shift, boolean paused, long wallMilliseconds) {
     List<DestinationShare> now = ShiftPath.shares(selector, wallMilliseconds);
--- a/weirlib/src/main/java/org/corianderweir/logic/steering/SteeringTracker.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/steering/SteeringTracker.java
@@ -2,8 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -104,17 +102,8 @@
     if (same != null) {
       return Optional.of(same);
     }
-    return covering(
+    return ShiftPlanner.covering(
             tracked.values().stream().map(each -> each.plan().selector()).toList(), selector)
         .map(found -> tracked.get(found.name()));
   }
-
-  /** Returns the selector whose traffic a new one takes over, if both use the same service. */
-  public static Optional<Selector> covering(Collection<Selector> selectors, Selector added) {
-    return selectors.stream()
-        .filter(other -> !other.name().equals(added.name()))
-        .filter(other -> added.pathPrefix().startsWith(other.pathPrefix()))
-        .max(Comparator.comparingInt(other -> other.pathPrefix().length()))
-        .filter(other -> other.service().equals(added.service()));
-  }
 }
--- a/weirlib/src/main/java/org/corianderweir/model/configuration/BackendServer.java
+++ b/weirlib/src/main/java/org/corianderweir/model/configuration/BackendServer.java
@@ -35,4 +35,10 @@
     return new BackendServer(
         name, service, availabilityZone, host, port, slots, connectionLimit, newDrained, labels);
   }
+
+  /** Returns this server with other labels. */
+  public BackendServer withLabels(List<Label> newLabels) {
+    return new BackendServer(
+        name, service, availabilityZone, host, port, slots, connectionLimit, drained, newLabels);
+  }
 }
--- a/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
+++ b/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
@@ -35,7 +35,15 @@
   /** A request was answered by a backend server. */
   REQUEST_ANSWERED(4003, Severity.DEBUG, "Request answered"),
   /** A request's outcome is not known. */
-  REQUEST_UNKNOWN(4004, Severity.WARNING, "Request outcome unknown");
+  REQUEST_UNKNOWN(4004, Severity.WARNING, "Request outcome unknown"),
+  /** The traffic of a selector is where the selector says. */
+  SHIFT_SETTLED(4501, Severity.INFO, "Shift settled"),
+  /** The traffic of a selector moves under its cap. */
+  SHIFT_MOVING(4502, Severity.INFO, "Shift moving"),
+  /** A destination is not ready, so the traffic of a selector does not move. */
+  SHIFT_HELD(4503, Severity.WARNING, "Shift held"),
+  /** An operator paused the shift of a selector. */
+  SHIFT_PAUSED(4504, Severity.INFO, "Shift paused");
 
   private final int number;
   private final Severity severity;
