--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/steering/explain/DryRun.java
@@ -0,0 +1,184 @@
+package org.corianderweir.logic.steering.explain;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.corianderweir.logic.steering.CellConditions;
+import org.corianderweir.logic.steering.CellKey;
+import org.corianderweir.logic.steering.SelectorPlan;
+import org.corianderweir.logic.steering.ServerPlace;
+import org.corianderweir.logic.steering.ShiftPlanner;
+import org.corianderweir.logic.steering.explain.DryRunReport.PlannedShift;
+import org.corianderweir.logic.steering.explain.DryRunReport.ZoneShares;
+import org.corianderweir.model.configuration.AvailabilityZone;
+import org.corianderweir.model.configuration.Configuration;
+import org.corianderweir.model.configuration.Selector;
+
+/** Works out the shift that a change would cause. Pure function of two configurations. */
+public final class DryRun {
+  private static final double NEGLIGIBLE_SHARE = 1e-9;
+
+  private final Configuration before;
+  private final Configuration after;
+  private final List<ServerPlace> placesBefore;
+  private final List<ServerPlace> placesAfter;
+  private final long wallMilliseconds;
+  private final CapacityCheck capacity;
+
+  private DryRun(
+      Configuration before,
+      Configuration after,
+      CellConditions.ServerView servers,
+      long wallMilliseconds) {
+    this.before = before;
+    this.after = after;
+    this.wallMilliseconds = wallMilliseconds;
+    placesBefore = ServerPlace.of(before);
+    placesAfter = ServerPlace.of(after);
+    capacity = new CapacityCheck(after, servers);
+  }
+
+  /**
+   * Returns what a change does.
+   *
+   * @param before configuration in force
+   * @param after configuration that the change would make
+   * @param servers what is known of the backend servers' load
+   */
+  public static DryRunReport report(
+      Configuration before,
+      Configuration after,
+      CellConditions.ServerView servers,
+      long wallMilliseconds) {
+    return new DryRun(before, after, servers, wallMilliseconds).report();
+  }
+
+  private DryRunReport report() {
+    List<PlannedShift> shifts = new ArrayList<>();
+    List<String> problems = new ArrayList<>();
+    for (Selector selector : after.selectors()) {
+      PlannedShift shift = shift(selector, problems);
+      if (shift.movedShare() > NEGLIGIBLE_SHARE) {
+        shifts.add(shift);
+      }
+      problems.addAll(capacity.problems(selector, shift.zones()));
+    }
+    return new DryRunReport(before.revision(), shifts, problems);
+  }
+
+  private PlannedShift shift(Selector selector, List<String> problems) {
+    List<ZoneShares> zones = new ArrayList<>();
+    double moved = 0;
+    for (String callerRegion : callerRegions()) {
+      Map<CellKey, Double> old = sharesBefore(selector, callerRegion);
+      SelectorPlan target = target(selector, callerRegion);
+      Map<CellKey, Double> wanted = byCell(target);
+      if (!old.isEmpty()) {
+        moved = Math.max(moved, distance(old, wanted));
+        stranded(selector, callerRegion, old, problems);
+      }
+      zones.addAll(zones(callerRegion, old, target));
+    }
+    return new PlannedShift(
+        selector.name(), moved, selector.capPerSecond(), moved / selector.capPerSecond(), zones);
+  }
+
+  private TreeSet<String> callerRegions() {
+    TreeSet<String> regions = new TreeSet<>();
+    after.zones().stream().map(AvailabilityZone::region).forEach(regions::add);
+    return regions;
+  }
+
+  private SelectorPlan target(Selector selector, String callerRegion) {
+    Selector settled = selector.toBuilder().shift(Optional.empty()).build();
+    return SelectorPlan.prepare(settled, placesAfter, callerRegion, List.of());
+  }
+
+  private Map<CellKey, Double> sharesBefore(Selector selector, String callerRegion) {
+    Optional<Selector> same =
+        before.selectors().stream()
+            .filter(known -> known.name().equals(selector.name()))
+            .findFirst();
+    return same.or(() -> ShiftPlanner.covering(before.selectors(), selector))
+        .map(known -> SelectorPlan.prepare(known, placesBefore, callerRegion, List.of()))
+        .map(this::byCell)
+        .orElse(Map.of());
+  }
+
+  private Map<CellKey, Double> byCell(SelectorPlan plan) {
+    double[] shares = plan.preferred(wallMilliseconds);
+    Map<CellKey, Double> byCell = new HashMap<>();
+    for (int index = 0; index < shares.length; index++) {
+      if (shares[index] > 0) {
+        byCell.put(plan.cells().get(index).key(), shares[index]);
+      }
+    }
+    return byCell;
+  }
+
+  /** Finds shares whose servers the change takes away at once. */
+  private void stranded(
+      Selector selector, String callerRegion, Map<CellKey, Double> old, List<String> problems) {
+    SelectorPlan kept = SelectorPlan.prepare(selector, placesAfter, callerRegion, old.keySet());
+    double share =
+        kept.cells().stream()
+            .filter(cell -> cell.servers().isEmpty())
+            .mapToDouble(cell -> old.getOrDefault(cell.key(), 0.0))
+            .sum();
+    if (share > NEGLIGIBLE_SHARE) {
+      problems.add(
+          ("selector %s: %.1f%% of the traffic from %s loses its servers at once and waits"
+                  + " or is refused until it has moved, up to %.1f s; shift it away first")
+              .formatted(
+                  selector.name(), share * 100, callerRegion, share / selector.capPerSecond()));
+    }
+  }
+
+  private List<ZoneShares> zones(
+      String callerRegion, Map<CellKey, Double> old, SelectorPlan target) {
+    Map<String, Double> oldByZone = byZone(old);
+    Map<String, Double> wantedByZone = byZone(byCell(target));
+    Map<String, Integer> slots = new TreeMap<>();
+    oldByZone.keySet().forEach(zone -> slots.put(zone, 0));
+    target.cells().stream()
+        .flatMap(cell -> cell.servers().stream())
+        .distinct()
+        .forEach(server -> slots.merge(server.availabilityZone(), server.slots(), Integer::sum));
+    List<ZoneShares> zones = new ArrayList<>();
+    slots.forEach(
+        (zone, count) ->
+            zones.add(
+                new ZoneShares(
+                    callerRegion,
+                    regionOf(zone),
+                    zone,
+                    oldByZone.getOrDefault(zone, 0.0),
+                    wantedByZone.getOrDefault(zone, 0.0),
+                    count)));
+    return zones;
+  }
+
+  private String regionOf(String zone) {
+    return after.zones().stream()
+        .filter(known -> known.name().equals(zone))
+        .map(AvailabilityZone::region)
+        .findFirst()
+        .orElse("");
+  }
+
+  private static Map<String, Double> byZone(Map<CellKey, Double> shares) {
+    Map<String, Double> byZone = new HashMap<>();
+    shares.forEach((cell, share) -> byZone.merge(cell.availabilityZone(), share, Double::sum));
+    return byZone;
+  }
+
+  private static double distance(Map<CellKey, Double> left, Map<CellKey, Double> right) {
+    Map<CellKey, Double> differences = new HashMap<>(left);
+    right.forEach((cell, share) -> differences.merge(cell, -share, Double::sum));
+    return differences.values().stream().mapToDouble(Math::abs).sum() / 2;
+  }
+}
