Callers with a seeded open-loop schedule, and relays that stand for the network

Cause: the bench needs load whose latency counts from the intended arrival, callers that cache look-ups, and faults between zones without isolation tools.

--- a/weirbench/src/main/java/org/corianderweir/bench/deployment/Deployment.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/deployment/Deployment.java
@@ -9,6 +9,7 @@
  * @param storeZone availability zone of the platform's service
  * @param latency one-way latencies
  * @param linkMegabitsPerSecond capacity between two regions, each way
+ * @param openRequestsPerSecond demand on open routes
  * @param zones availability zones
  * @param services services and their backend servers
  * @param routes routes that callers use
@@ -19,6 +20,7 @@
     String storeZone,
     Latency latency,
     double linkMegabitsPerSecond,
+    double openRequestsPerSecond,
     List<Zone> zones,
     List<ServicePlan> services,
     List<Route> routes,
@@ -71,6 +73,7 @@
    * @param service service that answers
    * @param open whether requests need no key
    * @param organisations organisations that may use it; empty means all of them
+   * @param share weight against the other routes of the same kind
    */
   public record Route(
       String name,
@@ -78,7 +81,8 @@
       String method,
       String service,
       boolean open,
-      List<String> organisations) {
+      List<String> organisations,
+      double share) {
     /** Copies the list. */
     public Route {
       organisations = List.copyOf(organisations);
@@ -109,6 +113,7 @@
         storeZone,
         latency,
         linkMegabitsPerSecond,
+        openRequestsPerSecond,
         zones.stream().map(zone -> limited(zone, entryInstancesPerZone)).toList(),
         services.stream().map(service -> limited(service, serversPerService)).toList(),
         routes,
--- a/weirbench/src/main/java/org/corianderweir/bench/deployment/DeploymentReader.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/deployment/DeploymentReader.java
@@ -54,6 +54,7 @@
         text(general, "store-zone"),
         latency,
         number(general, "link-megabits-per-second"),
+        number(general, "open-requests-per-second"),
         each("zone", this::zone),
         each("service", this::service),
         each("route", this::route),
@@ -110,7 +111,8 @@
         text(section, "method"),
         text(section, "service"),
         Boolean.parseBoolean(text(section, "open")),
-        organisations);
+        organisations,
+        number(section, "share"));
   }
 
   private Deployment.OrganisationPlan organisation(Section section) {
--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/load/CallerZones.java
@@ -0,0 +1,103 @@
+package org.corianderweir.bench.load;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.SplittableRandom;
+import org.corianderweir.bench.deployment.Deployment;
+import org.corianderweir.bench.deployment.DeploymentLayout;
+import org.corianderweir.http.HttpClient;
+import org.corianderweir.http.HttpClientOptions;
+import org.corianderweir.model.configuration.BackendServer;
+import org.corianderweir.model.topology.EntryInstance;
+
+/** The callers of all availability zones; each zone's have connections of their own. */
+public final class CallerZones implements RequestSender, AutoCloseable {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration IDLE_LIFETIME = Duration.ofSeconds(20);
+  private static final int ANSWER_LIMIT_BYTES = 16 * 1024 * 1024;
+  private static final String CLIENT_NUMBER = ".20";
+
+  private final Map<String, RequestSender> senders = new HashMap<>();
+  private final List<HttpClient> clients = new ArrayList<>();
+
+  private CallerZones() {}
+
+  /** Creates callers that use the system. */
+  public static CallerZones steered(
+      DeploymentLayout layout, long seed, CallerKeys keys, CallJournal journal) {
+    CallerZones zones = new CallerZones();
+    for (Deployment.Zone zone : layout.deployment().zones()) {
+      HttpClient client = zones.client(layout, zone);
+      zones.senders.put(
+          zone.name(),
+          new SteeredSender(
+              client,
+              zone.name(),
+              zone.prefix() + CLIENT_NUMBER,
+              nearestFirst(layout.entryInstances(), zone),
+              "call-" + seed + "-" + zone.name(),
+              keys,
+              journal));
+    }
+    return zones;
+  }
+
+  /** Creates callers that choose a random backend server themselves. */
+  public static CallerZones direct(
+      DeploymentLayout layout, List<BackendServer> servers, long seed, CallJournal journal) {
+    CallerZones zones = new CallerZones();
+    SplittableRandom random = new SplittableRandom(seed);
+    for (Deployment.Zone zone : layout.deployment().zones()) {
+      HttpClient client = zones.client(layout, zone);
+      String prefix = "call-" + seed + "-" + zone.name();
+      zones.senders.put(
+          zone.name(), new DirectSender(client, servers, prefix, journal, random.split()));
+    }
+    return zones;
+  }
+
+  @Override
+  public void send(Arrival arrival, long intendedNanoseconds) {
+    Objects.requireNonNull(senders.get(arrival.zone())).send(arrival, intendedNanoseconds);
+  }
+
+  @Override
+  public int pending() {
+    return senders.values().stream().mapToInt(RequestSender::pending).sum();
+  }
+
+  @Override
+  public void close() {
+    clients.forEach(HttpClient::stop);
+  }
+
+  private HttpClient client(DeploymentLayout layout, Deployment.Zone zone) {
+    HttpClient client =
+        new HttpClient(
+            new HttpClientOptions(
+                    "callers-" + zone.name(), CONNECT_TIMEOUT, IDLE_LIFETIME, ANSWER_LIMIT_BYTES)
+                .from(layout.callerHost(zone)));
+    client.start();
+    clients.add(client);
+    return client;
+  }
+
+  private static List<EntryInstance> nearestFirst(
+      List<EntryInstance> instances, Deployment.Zone zone) {
+    return instances.stream()
+        .sorted(Comparator.comparingInt(instance -> distance(instance, zone)))
+        .toList();
+  }
+
+  private static int distance(EntryInstance instance, Deployment.Zone zone) {
+    if (instance.availabilityZone().equals(zone.name())) {
+      return 0;
+    }
+    return instance.region().equals(zone.region()) ? 1 : 2;
+  }
+}
