--- a/weirbench/src/main/java/org/corianderweir/bench/network/NetworkRules.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/network/NetworkRules.java
@@ -6,6 +6,7 @@
 /** The state of the network between availability zones. Thread-safe. */
 public final class NetworkRules {
   private final Map<Direction, LinkState> states = new ConcurrentHashMap<>();
+  private final TrafficMeter meter = new TrafficMeter();
 
   /**
    * A way that bytes go.
@@ -48,6 +49,11 @@
     setBlocked(new Direction(otherZone, oneZone), cut);
   }
 
+  /** Returns the count of the bytes that went each way. */
+  public TrafficMeter meter() {
+    return meter;
+  }
+
   /** Returns the state of a direction. */
   public LinkState state(Direction direction) {
     return states.getOrDefault(direction, LinkState.CLEAR);
--- a/weirbench/src/main/java/org/corianderweir/bench/network/RelayPipe.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/network/RelayPipe.java
@@ -5,7 +5,6 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.function.Supplier;
 
 /** One direction of a relayed connection. Used by the relay's thread alone. */
 final class RelayPipe {
@@ -17,7 +16,8 @@
   private final RelayLoop loop;
   private final SocketChannel from;
   private final SocketChannel to;
-  private final Supplier<NetworkRules.LinkState> state;
+  private final NetworkRules rules;
+  private final NetworkRules.Direction direction;
   private final Runnable abort;
   private final Deque<Chunk> queue = new ArrayDeque<>();
   private long bytesLeft;
@@ -39,13 +39,15 @@
       RelayLoop loop,
       SocketChannel from,
       SocketChannel to,
-      Supplier<NetworkRules.LinkState> state,
+      NetworkRules rules,
+      NetworkRules.Direction direction,
       long bytesLeft,
       Runnable abort) {
     this.loop = loop;
     this.from = from;
     this.to = to;
-    this.state = state;
+    this.rules = rules;
+    this.direction = direction;
     this.bytesLeft = bytesLeft;
     this.abort = abort;
   }
@@ -57,7 +59,7 @@
 
   /** Returns whether the pipe waits for bytes now. */
   boolean wantsRead() {
-    return !ended && queuedBytes < QUEUE_LIMIT_BYTES && !state.get().blocked();
+    return !ended && queuedBytes < QUEUE_LIMIT_BYTES && !state().blocked();
   }
 
   /** Reads what is there. */
@@ -69,19 +71,20 @@
     }
     buffer.flip();
     ended = count == END;
-    long ready = System.nanoTime() + state.get().delayNanoseconds();
+    long ready = System.nanoTime() + state().delayNanoseconds();
     if (!queue.isEmpty()) {
       ready = Math.max(ready, queue.getLast().readyNanoseconds());
     }
     queue.addLast(new Chunk(ready, buffer, ended));
     queuedBytes += buffer.remaining();
+    rules.meter().count(direction, buffer.remaining(), System.nanoTime());
     flush();
   }
 
   /** Hands on what is due; asks the loop to come back for the rest. */
   void flush() {
     try {
-      while (!queue.isEmpty() && !state.get().blocked()) {
+      while (!queue.isEmpty() && !state().blocked()) {
         Chunk chunk = queue.getFirst();
         long now = System.nanoTime();
         if (chunk.readyNanoseconds() > now) {
@@ -94,7 +97,7 @@
         }
         queue.removeFirst();
       }
-      if (state.get().blocked()) {
+      if (state().blocked()) {
         scheduleRetry();
       }
     } catch (IOException gone) {
@@ -102,6 +105,10 @@
     }
   }
 
+  private NetworkRules.LinkState state() {
+    return rules.state(direction);
+  }
+
   private boolean write(Chunk chunk) throws IOException {
     if (chunk.end()) {
       to.shutdownOutput();
--- a/weirbench/src/main/java/org/corianderweir/bench/network/RelayedConnection.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/network/RelayedConnection.java
@@ -46,10 +46,8 @@
     server.setOption(java.net.StandardSocketOptions.TCP_NODELAY, true);
     var there = new NetworkRules.Direction(sourceZone, target.zone());
     var back = new NetworkRules.Direction(target.zone(), sourceZone);
-    requests =
-        new RelayPipe(loop, client, server, () -> rules.state(there), Long.MAX_VALUE, this::close);
-    answers =
-        new RelayPipe(loop, server, client, () -> rules.state(back), answerBytesLimit, this::close);
+    requests = new RelayPipe(loop, client, server, rules, there, Long.MAX_VALUE, this::close);
+    answers = new RelayPipe(loop, server, client, rules, back, answerBytesLimit, this::close);
   }
 
   /** Connects to the server. */
--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/network/TrafficMeter.java
@@ -0,0 +1,44 @@
+package org.corianderweir.bench.network;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counts the bytes of each direction in buckets of a tenth of a second. Thread-safe. */
+public final class TrafficMeter {
+  /** Length of a bucket. */
+  public static final long BUCKET_NANOSECONDS = 100_000_000;
+
+  private final Map<Bucket, LongAdder> counts = new ConcurrentHashMap<>();
+
+  private record Bucket(NetworkRules.Direction direction, long number) {}
+
+  /**
+   * Bytes that went one way in one bucket.
+   *
+   * @param direction the way
+   * @param beginNanoseconds monotonic time at which the bucket begins
+   * @param bytes bytes sent
+   */
+  public record Sample(NetworkRules.Direction direction, long beginNanoseconds, long bytes) {}
+
+  /** Counts bytes that start on their way now. */
+  void count(NetworkRules.Direction direction, long bytes, long nowNanoseconds) {
+    counts
+        .computeIfAbsent(
+            new Bucket(direction, nowNanoseconds / BUCKET_NANOSECONDS), unused -> new LongAdder())
+        .add(bytes);
+  }
+
+  /** Returns all buckets that are not empty. */
+  public List<Sample> samples() {
+    List<Sample> samples = new ArrayList<>();
+    counts.forEach(
+        (bucket, bytes) ->
+            samples.add(
+                new Sample(bucket.direction(), bucket.number() * BUCKET_NANOSECONDS, bytes.sum())));
+    return samples;
+  }
+}
--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/observer/KeyChecks.java
@@ -0,0 +1,104 @@
+package org.corianderweir.bench.observer;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.corianderweir.bench.backend.JournalEntry;
+import org.corianderweir.bench.deployment.Deployment;
+import org.corianderweir.bench.load.CallRecord;
+
+/** Checks of what becomes of keys. */
+public final class KeyChecks {
+  /** Time after which a withdrawn key must be refused everywhere. */
+  public static final Duration WITHDRAWAL_LIMIT = Duration.ofSeconds(5);
+
+  private KeyChecks() {}
+
+  /** No backend server sees a key. */
+  public static Verdict keysStayHidden(Evidence evidence) {
+    List<String> violations =
+        evidence.journal().stream()
+            .filter(JournalEntry::keySeen)
+            .map(entry -> entry.server() + " saw the key of request " + entry.request())
+            .toList();
+    return Verdict.of("No backend server sees a key", evidence.journal().size(), violations);
+  }
+
+  /** A request runs only for the organisation whose key came with it. */
+  public static Verdict rightOrganisation(Evidence evidence) {
+    Map<String, String> organisations = new HashMap<>();
+    for (CallRecord call : evidence.calls()) {
+      organisations.put(call.identifier(), call.organisation());
+    }
+    List<String> violations =
+        evidence.runs().stream()
+            .filter(run -> !run.organisation().equals(organisations.get(run.request())))
+            .map(
+                run ->
+                    "request %s of '%s' ran for '%s' on %s"
+                        .formatted(
+                            run.request(),
+                            organisations.get(run.request()),
+                            run.organisation(),
+                            run.server()))
+            .toList();
+    return Verdict.of(
+        "A request runs only for the organisation whose key came with it",
+        evidence.runs().size(),
+        violations);
+  }
+
+  /** On routes that need a key nothing runs without one. */
+  public static Verdict keyedRoutesNeedKeys(Evidence evidence) {
+    List<String> keyedPaths =
+        evidence.deployment().routes().stream()
+            .filter(route -> !route.open())
+            .map(Deployment.Route::path)
+            .toList();
+    List<JournalEntry> keyedRuns =
+        evidence.runs().stream()
+            .filter(run -> keyedPaths.stream().anyMatch(run.target()::startsWith))
+            .toList();
+    List<String> violations =
+        keyedRuns.stream()
+            .filter(run -> run.organisation().isEmpty())
+            .map(run -> "request " + run.request() + " ran without an organisation")
+            .toList();
+    return Verdict.of(
+        "A request runs only with a key, except on routes open to all",
+        keyedRuns.size(),
+        violations);
+  }
+
+  /** A withdrawn key stops working within seconds. */
+  public static Verdict withdrawnKeysStop(Evidence evidence) {
+    List<Incident.KeyWithdrawn> withdrawals =
+        evidence.incidents(Incident.KeyWithdrawn.class).toList();
+    List<String> violations =
+        withdrawals.stream().flatMap(each -> usesAfter(each, evidence).stream()).toList();
+    return Verdict.of(
+        "A withdrawn key stops working within seconds", withdrawals.size(), violations);
+  }
+
+  private static List<String> usesAfter(Incident.KeyWithdrawn withdrawn, Evidence evidence) {
+    long limit = withdrawn.acceptedNanoseconds() + WITHDRAWAL_LIMIT.toNanos();
+    Map<String, Long> sent = new HashMap<>();
+    evidence.calls().stream()
+        .filter(call -> call.key().equals(withdrawn.key()))
+        .filter(call -> call.startNanoseconds() > limit)
+        .forEach(call -> sent.put(call.identifier(), call.startNanoseconds()));
+    return evidence.runs().stream()
+        .filter(run -> sent.containsKey(run.request()) && run.beginNanoseconds() > limit)
+        .map(
+            run ->
+                "request %s ran on %s %.1f s after the withdrawal"
+                    .formatted(
+                        run.request(),
+                        run.server(),
+                        Duration.ofNanos(run.beginNanoseconds() - withdrawn.acceptedNanoseconds())
+                                .toMillis()
+                            / 1e3))
+        .toList();
+  }
+}
--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/observer/Observer.java
@@ -0,0 +1,31 @@
+package org.corianderweir.bench.observer;
+
+import java.util.List;
+
+/** Judges a run by all checks. */
+public final class Observer {
+  private static final List<Check> CHECKS =
+      List.of(
+          new RateCheck(),
+          KeyChecks::keysStayHidden,
+          KeyChecks::rightOrganisation,
+          KeyChecks::keyedRoutesNeedKeys,
+          KeyChecks::withdrawnKeysStop,
+          ExecutionChecks::runsAtMostOnce,
+          ExecutionChecks::notRunIsTrue,
+          ExecutionChecks::rightAnswer,
+          ExecutionChecks::answersComeFromRuns,
+          LeavingChecks::drainedServersRest,
+          LeavingChecks::plannedStopsCutNothing,
+          ConfigurationChecks::neverReverts,
+          ConfigurationChecks::isInForce,
+          OverloadChecks::regionsNotOverloaded,
+          OverloadChecks::linksNotOverloaded);
+
+  private Observer() {}
+
+  /** Returns the verdict of each check. */
+  public static List<Verdict> judge(Evidence evidence) {
+    return CHECKS.stream().map(check -> check.check(evidence)).toList();
+  }
+}
