--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/scenario/Experiment.java
@@ -0,0 +1,129 @@
+package org.corianderweir.bench.scenario;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.corianderweir.bench.backend.JournalEntry;
+import org.corianderweir.bench.deployment.DeploymentLayout;
+import org.corianderweir.bench.load.Arrival;
+import org.corianderweir.bench.load.ArrivalSchedule;
+import org.corianderweir.bench.load.CallJournal;
+import org.corianderweir.bench.load.CallerKeys;
+import org.corianderweir.bench.load.CallerZones;
+import org.corianderweir.bench.load.LoadPlan;
+import org.corianderweir.bench.load.LoadRun;
+import org.corianderweir.bench.observer.Evidence;
+import org.corianderweir.bench.observer.RevisionSample;
+import org.corianderweir.bench.process.Fleet;
+import org.corianderweir.model.configuration.BackendServer;
+
+/** Starts a fleet, runs a scenario against it and gathers what was seen. */
+public final class Experiment {
+  private static final Duration COLD_TIME = Duration.ofSeconds(5);
+  private static final Duration LOAD_DELAY = Duration.ofSeconds(1);
+  private static final Duration END_LIMIT = Duration.ofSeconds(25);
+  private static final Duration SURGE_BEGIN = Duration.ofSeconds(4);
+  private static final Duration SURGE_END = Duration.ofSeconds(14);
+
+  private final RunOptions options;
+  private final DeploymentLayout layout;
+  private final CallJournal calls = new CallJournal();
+  private final IncidentLog incidents = new IncidentLog();
+  private final CallerKeys keys = new CallerKeys();
+
+  /**
+   * What came of a run.
+   *
+   * @param evidence all that was seen
+   * @param startNanoseconds monotonic time at which the load began
+   * @param allEnded whether every request ended before the run did
+   */
+  public record Outcome(Evidence evidence, long startNanoseconds, boolean allEnded) {}
+
+  /** Prepares a run. */
+  public Experiment(RunOptions options) {
+    this.options = options;
+    layout = new DeploymentLayout(options.deployment(), options.firstPort());
+  }
+
+  /** Runs the scenario; all processes have ended when it returns. */
+  public Outcome run() {
+    Fleet.Options how = new Fleet.Options(options.logs(), true, true, COLD_TIME);
+    try (Fleet fleet = new Fleet(layout, how)) {
+      fleet.start();
+      Operators operators = new Operators(fleet, incidents);
+      new FleetSetup(fleet, operators).run(keys);
+      return runLoad(fleet, operators);
+    }
+  }
+
+  private Outcome runLoad(Fleet fleet, Operators operators) {
+    List<Arrival> arrivals = ArrivalSchedule.draw(options.deployment(), loadPlan());
+    long start = System.nanoTime() + LOAD_DELAY.toNanos();
+    boolean allEnded;
+    List<RevisionSample> revisions;
+    try (CallerZones callers = callers(fleet);
+        RevisionSampler sampler = new RevisionSampler(fleet)) {
+      LoadRun load = new LoadRun(arrivals, callers, start);
+      load.start();
+      try (ActionRunner actions = new ActionRunner(fleet, operators, incidents)) {
+        sampler.start();
+        awaitTime(start);
+        actions.schedule(options.scenario().actions());
+      }
+      allEnded = load.awaitEnd(options.duration().plus(END_LIMIT));
+      sampler.close();
+      revisions = sampler.samples();
+    }
+    return new Outcome(evidence(fleet, revisions), start, allEnded);
+  }
+
+  private CallerZones callers(Fleet fleet) {
+    return options.baseline()
+        ? CallerZones.direct(layout, fleet.advertisedServers(), options.seed(), calls)
+        : CallerZones.steered(layout, options.seed(), keys, calls);
+  }
+
+  private LoadPlan loadPlan() {
+    Scenario scenario = options.scenario();
+    List<LoadPlan.Surge> surges =
+        scenario.surgeFactor() > 0
+            ? List.of(
+                new LoadPlan.Surge(
+                    options.deployment().organisations().getFirst().name(),
+                    SURGE_BEGIN,
+                    SURGE_END,
+                    scenario.surgeFactor()))
+            : List.of();
+    Optional<String> zone =
+        scenario.singleZone()
+            ? Optional.of(options.deployment().zones().getFirst().name())
+            : Optional.empty();
+    return new LoadPlan(options.seed(), options.duration(), options.loadFactor(), surges, zone);
+  }
+
+  private Evidence evidence(Fleet fleet, List<RevisionSample> revisions) {
+    List<JournalEntry> journal = new ArrayList<>();
+    for (BackendServer server : layout.backendServers()) {
+      journal.addAll(fleet.client().journal(server));
+    }
+    return new Evidence(
+        options.deployment(),
+        layout.backendServers(),
+        calls.records(),
+        journal,
+        revisions,
+        fleet.rules().meter().samples(),
+        incidents.incidents());
+  }
+
+  private static void awaitTime(long nanoseconds) {
+    try {
+      TimeUnit.NANOSECONDS.sleep(nanoseconds - System.nanoTime());
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/scenario/FleetSetup.java
@@ -0,0 +1,68 @@
+package org.corianderweir.bench.scenario;
+
+import java.time.Duration;
+import java.util.function.BooleanSupplier;
+import org.corianderweir.bench.deployment.Deployment;
+import org.corianderweir.bench.load.CallerKeys;
+import org.corianderweir.bench.process.Fleet;
+import org.corianderweir.model.ErrorCode;
+import org.corianderweir.model.WeirException;
+
+/** Brings a fleet that has just been started to the point where it serves all organisations. */
+final class FleetSetup {
+  private static final Duration HANG_GUARD = Duration.ofSeconds(60);
+  private static final long POLL_MILLISECONDS = 50;
+
+  private final Fleet fleet;
+  private final Operators operators;
+
+  FleetSetup(Fleet fleet, Operators operators) {
+    this.fleet = fleet;
+    this.operators = operators;
+  }
+
+  /** Returns the identifier of an organisation's key. */
+  static String keyIdentifier(String organisation) {
+    return "key-" + organisation;
+  }
+
+  /** Applies the first configuration and issues the keys; they are in force everywhere then. */
+  void run(CallerKeys keys) {
+    await("the platform answers", fleet::publishInstances);
+    await("the first configuration is accepted", operators::applyFirst);
+    for (Deployment.OrganisationPlan organisation : fleet.layout().deployment().organisations()) {
+      String identifier = keyIdentifier(organisation.name());
+      CallerKeys.CallerKey key =
+          operators
+              .issueKey(identifier, organisation.name())
+              .orElseThrow(() -> failure("no key for " + organisation.name()));
+      keys.set(organisation.name(), key);
+    }
+    long expected = fleet.client().revision(fleet.layout().entryInstances().getFirst());
+    await(
+        "revision " + expected + " is in force everywhere",
+        () ->
+            fleet.layout().entryInstances().stream()
+                .allMatch(instance -> fleet.client().revision(instance) >= expected));
+  }
+
+  /** Waits for a condition; the limit only ends a run that hangs. */
+  static void await(String what, BooleanSupplier condition) {
+    long deadline = System.nanoTime() + HANG_GUARD.toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > deadline) {
+        throw failure("it never came about that " + what);
+      }
+      try {
+        Thread.sleep(POLL_MILLISECONDS);
+      } catch (InterruptedException interrupted) {
+        Thread.currentThread().interrupt();
+        throw failure("interrupted");
+      }
+    }
+  }
+
+  private static WeirException failure(String message) {
+    return new WeirException(ErrorCode.CONNECT_FAILED, message);
+  }
+}
--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/scenario/Operators.java
@@ -0,0 +1,121 @@
+package org.corianderweir.bench.scenario;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.corianderweir.bench.load.CallerKeys;
+import org.corianderweir.bench.observer.Incident;
+import org.corianderweir.bench.process.Fleet;
+import org.corianderweir.model.topology.EntryInstance;
+import org.corianderweir.protocol.Json;
+import org.corianderweir.protocol.OperatorMessages;
+
+/** Makes changes as operators do, and notes those that were accepted. */
+final class Operators {
+  private static final int TRIES = 20;
+  private static final long TRY_MILLISECONDS = 250;
+
+  private final Fleet fleet;
+  private final IncidentLog incidents;
+
+  Operators(Fleet fleet, IncidentLog incidents) {
+    this.fleet = fleet;
+    this.incidents = incidents;
+  }
+
+  /** Applies the first configuration; returns whether it was accepted. */
+  boolean applyFirst() {
+    String body = Json.write(fleet.layout().configuration(fleet.advertisedServers()));
+    return change(0, "PUT", "/configuration", body).isPresent();
+  }
+
+  /** Issues a key; empty if no try was accepted. */
+  Optional<CallerKeys.CallerKey> issueKey(String identifier, String organisation) {
+    String target = "/keys/issue?identifier=" + identifier + "&organisation=" + organisation;
+    Optional<String> answer = Optional.empty();
+    for (int count = 0; count < TRIES && answer.isEmpty(); count++) {
+      answer = fleet.client().operate(instance(0), "POST", target, "");
+      pauseIf(answer.isEmpty());
+    }
+    return answer
+        .map(text -> Json.read(text, OperatorMessages.KeyIssued.class))
+        .map(issued -> new CallerKeys.CallerKey(identifier, issued.key()));
+  }
+
+  /** Withdraws a key. */
+  void withdrawKey(String identifier) {
+    change(0, "POST", "/keys/withdraw?identifier=" + identifier, "")
+        .ifPresent(at -> incidents.add(new Incident.KeyWithdrawn(identifier, at)));
+  }
+
+  /** Drains a backend server. */
+  void drain(String server) {
+    change(0, "POST", "/drain?server=" + server, "")
+        .ifPresent(at -> incidents.add(new Incident.ServerDrained(server, at)));
+  }
+
+  /** Makes a change that only moves the revision; tries once. */
+  void touch(int instanceNumber) {
+    tryChange(instanceNumber, "POST", "/undrain?server=" + unusedServer(), "");
+  }
+
+  /** Lets several operators touch the configuration at the same time. */
+  void race(int operators) {
+    CompletableFuture<?>[] all =
+        IntStream.range(0, operators)
+            .mapToObj(number -> CompletableFuture.runAsync(() -> touchOften(number)))
+            .toArray(CompletableFuture<?>[]::new);
+    CompletableFuture.allOf(all).join();
+  }
+
+  private void touchOften(int number) {
+    for (int count = 0; count < TRIES; count++) {
+      touch(number);
+      pauseIf(true);
+    }
+  }
+
+  private String unusedServer() {
+    return fleet.layout().backendServers().getLast().name();
+  }
+
+  /** Tries until a change is accepted; returns when the answer was there. */
+  private Optional<Long> change(int instanceNumber, String method, String target, String body) {
+    Optional<Long> accepted = Optional.empty();
+    for (int count = 0; count < TRIES && accepted.isEmpty(); count++) {
+      accepted = tryChange(instanceNumber, method, target, body);
+      pauseIf(accepted.isEmpty());
+    }
+    return accepted;
+  }
+
+  private Optional<Long> tryChange(int instanceNumber, String method, String target, String body) {
+    Optional<String> answer =
+        fleet.client().operate(instance(instanceNumber), method, target, body);
+    long now = System.nanoTime();
+    answer.ifPresent(text -> noteAccepted(text, now));
+    return answer.map(text -> now);
+  }
+
+  private void noteAccepted(String text, long nowNanoseconds) {
+    long revision = Json.read(text, OperatorMessages.Accepted.class).revision();
+    incidents.add(new Incident.RevisionAccepted(revision, nowNanoseconds));
+  }
+
+  private EntryInstance instance(int number) {
+    List<EntryInstance> instances = fleet.layout().entryInstances();
+    return instances.get(number % instances.size());
+  }
+
+  private static void pauseIf(boolean wanted) {
+    if (!wanted) {
+      return;
+    }
+    try {
+      Thread.sleep(TRY_MILLISECONDS);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
