--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -3,11 +3,13 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.corianderweir.bench.backend.BackendStandIn;
+import org.corianderweir.bench.backend.JournalFile;
 import org.corianderweir.bench.backend.ServerPlan;
 import org.corianderweir.bench.demo.Demonstration;
 import org.corianderweir.bench.deployment.DeploymentFiles;
@@ -52,10 +54,15 @@
         description = "name/host/port/slots/service ms/cold ms/cold factor; may be repeated")
     private List<String> servers = new ArrayList<>();
 
+    @Parameter(names = "--journal", description = "file that the journals are written to")
+    private String journal = "";
+
     @Override
     public int run() throws InterruptedException {
+      JournalFile file =
+          journal.isEmpty() ? JournalFile.none() : JournalFile.create(Path.of(journal));
       for (String server : servers) {
-        new BackendStandIn(ServerPlan.fromArgument(server)).start();
+        new BackendStandIn(ServerPlan.fromArgument(server), file).start();
       }
       new CountDownLatch(1).await();
       return 0;
--- a/weirbench/src/main/java/org/corianderweir/bench/backend/BackendStandIn.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/backend/BackendStandIn.java
@@ -37,7 +37,7 @@
   private final ServerPlan plan;
   private final HttpListener listener;
   private final AtomicInteger inFlight = new AtomicInteger();
-  private final ServerJournal journal = new ServerJournal();
+  private final ServerJournal journal;
   private final LoadHistory load = new LoadHistory();
   private final long startNanoseconds = System.nanoTime();
   private volatile ServerSwitches switches = ServerSwitches.NORMAL;
@@ -60,9 +60,14 @@
    */
   public record Answer(String server, String request, String organisation) {}
 
-  /** Creates a server that does not listen yet. */
-  public BackendStandIn(ServerPlan plan) {
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param file where the journal is written as well
+   */
+  public BackendStandIn(ServerPlan plan, JournalFile file) {
     this.plan = plan;
+    journal = new ServerJournal(file);
     listener =
         new HttpListener(
             new HttpListenerOptions(
--- a/weirbench/src/main/java/org/corianderweir/bench/backend/JournalEntry.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/backend/JournalEntry.java
@@ -41,7 +41,8 @@
     return outcome != Outcome.SHED;
   }
 
-  JournalEntry ended(Outcome ending, long nanoseconds) {
+  /** Returns this entry with its end. */
+  public JournalEntry ended(Outcome ending, long nanoseconds) {
     return new JournalEntry(
         server,
         request,
--- a/weirbench/src/main/java/org/corianderweir/bench/backend/ServerJournal.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/backend/ServerJournal.java
@@ -6,15 +6,25 @@
 /** The requests that reached a backend server, in order of arrival. Thread-safe. */
 final class ServerJournal {
   private final List<JournalEntry> entries = new ArrayList<>();
+  private final JournalFile file;
+
+  /** Creates an empty journal that is also written to a file. */
+  ServerJournal(JournalFile file) {
+    this.file = file;
+  }
 
   /** Adds a request and returns its position. */
   synchronized int add(JournalEntry entry) {
     entries.add(entry);
-    return entries.size() - 1;
+    int position = entries.size() - 1;
+    file.write(position, entry);
+    return position;
   }
 
   synchronized void end(int position, JournalEntry.Outcome outcome, long nanoseconds) {
-    entries.set(position, entries.get(position).ended(outcome, nanoseconds));
+    JournalEntry ended = entries.get(position).ended(outcome, nanoseconds);
+    entries.set(position, ended);
+    file.write(position, ended);
   }
 
   synchronized List<JournalEntry> entriesFrom(int position) {
--- a/weirbench/src/main/java/org/corianderweir/bench/observer/Incident.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/observer/Incident.java
@@ -57,4 +57,20 @@
    * @param acceptedNanoseconds when the answer was there
    */
   record RevisionAccepted(long revision, long acceptedNanoseconds) implements Incident {}
+
+  /**
+   * The process of a backend server was killed.
+   *
+   * @param server name of the server
+   * @param atNanoseconds when that was
+   */
+  record ServerKilled(String server, long atNanoseconds) implements Incident {}
+
+  /**
+   * An action of the bench failed, so that the run says less than it should.
+   *
+   * @param message what happened
+   * @param atNanoseconds when that was
+   */
+  record ActionFailed(String message, long atNanoseconds) implements Incident {}
 }
--- a/weirbench/src/main/java/org/corianderweir/bench/process/Fleet.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/process/Fleet.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.function.Predicate;
 import org.corianderweir.bench.BenchMain;
+import org.corianderweir.bench.backend.JournalEntry;
+import org.corianderweir.bench.backend.JournalFile;
 import org.corianderweir.bench.backend.ServerPlan;
 import org.corianderweir.bench.deployment.Deployment;
 import org.corianderweir.bench.deployment.DeploymentLayout;
@@ -147,7 +149,8 @@
   }
 
   private void startServers(String process, Predicate<BackendServer> chosen) {
-    List<String> arguments = new ArrayList<>(List.of("backend"));
+    List<String> arguments =
+        new ArrayList<>(List.of("backend", "--journal", journalFile(process).toString()));
     for (BackendServer server : layout.backendServers()) {
       if (chosen.test(server)) {
         arguments.add("--server");
@@ -157,6 +160,19 @@
     processes.start(process, BenchMain.class, arguments);
   }
 
+  private Path journalFile(String process) {
+    return options.directory().resolve(process + ".journal");
+  }
+
+  /** Returns what reached the backend servers, also those that have been killed. */
+  public List<JournalEntry> journal() {
+    return layout.deployment().zones().stream()
+        .map(zone -> serverProcess(zone.name()))
+        .distinct()
+        .flatMap(process -> JournalFile.read(journalFile(process)).stream())
+        .toList();
+  }
+
   private ServerPlan plan(BackendServer server) {
     long milliseconds = layout.service(server.service()).serviceMilliseconds();
     return new ServerPlan(
--- a/weirbench/src/main/java/org/corianderweir/bench/scenario/ActionRunner.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/scenario/ActionRunner.java
@@ -3,8 +3,11 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Phaser;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.stream.Stream;
 import org.corianderweir.bench.backend.ServerSwitches;
 import org.corianderweir.bench.deployment.Deployment;
 import org.corianderweir.bench.network.NetworkRules;
@@ -21,6 +24,7 @@
   private final Fleet fleet;
   private final Operators operators;
   private final IncidentLog incidents;
+  private final Phaser underway = new Phaser(1);
   private final ScheduledExecutorService timer =
       Executors.newScheduledThreadPool(
           THREADS, task -> Thread.ofPlatform().daemon().name("actions").unstarted(task));
@@ -40,11 +44,15 @@
   /** Waits until everything was done and undone. */
   @Override
   public void close() {
-    timer.shutdown();
+    int phase = underway.arrive();
     try {
-      timer.awaitTermination(STOP_LIMIT_SECONDS, TimeUnit.SECONDS);
+      underway.awaitAdvanceInterruptibly(phase, STOP_LIMIT_SECONDS, TimeUnit.SECONDS);
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
+    } catch (TimeoutException hangs) {
+      throw new IllegalStateException("an action did not end", hangs);
+    } finally {
+      timer.shutdownNow();
     }
   }
 
@@ -57,8 +65,7 @@
       case Action.StopInstance stop -> stop(instance(stop.instance()));
       case Action.KillInstance kill -> kill(instance(kill.instance()), kill.restartAfter());
       case Action.FreezeInstance freeze -> freeze(instance(freeze.instance()), freeze.time());
-      case Action.KillServers kill ->
-          fleet.processes().get(serverProcess(kill.zone())).destroyForcibly();
+      case Action.KillServers kill -> killServers(kill.zone());
       case Action.FreezeServers freeze -> freezeServers(freeze);
       case Action.SwitchServer change -> switchServer(change);
       case Action.TruncateAnswers truncate -> truncate(truncate);
@@ -112,6 +119,18 @@
         });
   }
 
+  private void killServers(int zone) {
+    fleet.processes().get(serverProcess(zone)).destroyForcibly();
+    long now = System.nanoTime();
+    serversOf(zone).forEach(server -> incidents.add(new Incident.ServerKilled(server.name(), now)));
+  }
+
+  private Stream<BackendServer> serversOf(int zone) {
+    String name = zone(zone).name();
+    return fleet.layout().backendServers().stream()
+        .filter(server -> server.availabilityZone().equals(name));
+  }
+
   private void freezeServers(Action.FreezeServers freeze) {
     String process = serverProcess(freeze.zone());
     long from = System.nanoTime();
@@ -120,10 +139,7 @@
         freeze.time(),
         () -> {
           fleet.processes().resume(process);
-          String zone = zone(freeze.zone()).name();
-          fleet.layout().backendServers().stream()
-              .filter(server -> server.availabilityZone().equals(zone))
-              .forEach(server -> noteFaulty(server, from));
+          serversOf(freeze.zone()).forEach(server -> noteFaulty(server, from));
         });
   }
 
@@ -218,7 +234,18 @@
   }
 
   private void after(Duration delay, Runnable task) {
-    timer.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+    underway.register();
+    timer.schedule(() -> runAndLeave(task), delay.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  private void runAndLeave(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException failure) {
+      incidents.add(new Incident.ActionFailed(String.valueOf(failure), System.nanoTime()));
+    } finally {
+      underway.arriveAndDeregister();
+    }
   }
 
   private String serverProcess(int zone) {
--- a/weirbench/src/main/java/org/corianderweir/bench/scenario/Experiment.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/scenario/Experiment.java
@@ -1,7 +1,6 @@
 package org.corianderweir.bench.scenario;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -15,9 +14,9 @@
 import org.corianderweir.bench.load.LoadPlan;
 import org.corianderweir.bench.load.LoadRun;
 import org.corianderweir.bench.observer.Evidence;
+import org.corianderweir.bench.observer.Incident;
 import org.corianderweir.bench.observer.RevisionSample;
 import org.corianderweir.bench.process.Fleet;
-import org.corianderweir.model.configuration.BackendServer;
 
 /** Starts a fleet, runs a scenario against it and gathers what was seen. */
 public final class Experiment {
@@ -105,10 +104,7 @@
   }
 
   private Evidence evidence(Fleet fleet, List<RevisionSample> revisions) {
-    List<JournalEntry> journal = new ArrayList<>();
-    for (BackendServer server : layout.backendServers()) {
-      journal.addAll(fleet.client().journal(server));
-    }
+    List<JournalEntry> journal = fleet.journal().stream().map(this::endedByKill).toList();
     return new Evidence(
         options.deployment(),
         layout.backendServers(),
@@ -119,6 +115,18 @@
         incidents.incidents());
   }
 
+  /** A killed process could not note the end of what it ran. */
+  private JournalEntry endedByKill(JournalEntry entry) {
+    return incidents.incidents().stream()
+        .filter(Incident.ServerKilled.class::isInstance)
+        .map(Incident.ServerKilled.class::cast)
+        .filter(killed -> killed.server().equals(entry.server()))
+        .filter(killed -> entry.outcome() == JournalEntry.Outcome.RUNNING)
+        .map(killed -> entry.ended(JournalEntry.Outcome.ABANDONED, killed.atNanoseconds()))
+        .findFirst()
+        .orElse(entry);
+  }
+
   private static void awaitTime(long nanoseconds) {
     try {
       TimeUnit.NANOSECONDS.sleep(nanoseconds - System.nanoTime());
