--- a/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationChange.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationChange.java
@@ -9,6 +9,7 @@
         ConfigurationChange.AddKey,
         ConfigurationChange.WithdrawKey,
         ConfigurationChange.SetDrained,
+        ClientBlockChange,
         OrganisationChange,
         SteeringChange {
   /**
--- a/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationEditor.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationEditor.java
@@ -28,6 +28,7 @@
               current.toBuilder().keys(withdrawn(current, withdraw));
           case ConfigurationChange.SetDrained drain ->
               current.toBuilder().backendServers(drained(current, drain));
+          case ClientBlockChange blocks -> ClientBlockEditor.apply(current, blocks);
           case OrganisationChange organisation -> OrganisationEditor.apply(current, organisation);
           case SteeringChange steering -> SteeringEditor.apply(current, steering);
         };
--- a/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationProblem.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationProblem.java
@@ -16,6 +16,8 @@
     REGION_UNKNOWN,
     /** An item names an availability zone that there is not. */
     ZONE_UNKNOWN,
+    /** A client block names a site that there is not. */
+    SITE_UNKNOWN,
     /** An item names an organisation that there is not. */
     ORGANISATION_UNKNOWN,
     /** A selector names a service that no backend server runs. */
--- a/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationValidator.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationValidator.java
@@ -18,6 +18,7 @@
 import org.corianderweir.model.configuration.Organisation;
 import org.corianderweir.model.configuration.Region;
 import org.corianderweir.model.configuration.Selector;
+import org.corianderweir.model.configuration.Site;
 
 /** Checks a configuration as a whole before it is accepted. */
 public final class ConfigurationValidator {
@@ -46,6 +47,7 @@
     validator.checkKeys();
     validator.checkServers();
     validator.checkSelectors();
+    validator.problems.addAll(ClientBlockRules.problems(configuration));
     return List.copyOf(validator.problems);
   }
 
@@ -53,6 +55,7 @@
     checkUnique("region", configuration.regions(), Region::name);
     checkUnique("link", configuration.links(), ConfigurationDifference::linkName);
     checkUnique("zone", configuration.zones(), AvailabilityZone::name);
+    checkUnique("site", configuration.sites(), Site::name);
     checkUnique("organisation", configuration.organisations(), Organisation::name);
     checkUnique("key", configuration.keys(), AccessKey::identifier);
     checkUnique("backend server", configuration.backendServers(), BackendServer::name);
