--- a/weirlib/src/main/java/org/corianderweir/logic/limits/AdmissionDecision.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/AdmissionDecision.java
@@ -2,6 +2,9 @@
 
 /** Whether an organisation's request is inside its rate and burst. */
 public sealed interface AdmissionDecision {
+  /** The one value of {@link Admitted}. */
+  AdmissionDecision ADMITTED = new Admitted();
+
   /** The request may go on. */
   record Admitted() implements AdmissionDecision {}
 
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/Allowance.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/Allowance.java
@@ -7,6 +7,8 @@
  * @param capacity tokens that may be saved up, or requests that may run at the same time
  */
 public record Allowance(double rate, double capacity) {
+  private static final double ROUNDING = 1e-9;
+
   /** No allowance at all. */
   public static final Allowance NONE = new Allowance(0, 0);
 
@@ -15,6 +17,11 @@
     return rate <= 0 && capacity <= 0;
   }
 
+  /** Returns whether any part is larger than the other's, by more than rounding. */
+  public boolean exceeds(Allowance other) {
+    return rate > other.rate + ROUNDING || capacity > other.capacity + ROUNDING;
+  }
+
   /** Returns the sum of two parts. */
   public Allowance plus(Allowance other) {
     return new Allowance(rate + other.rate, capacity + other.capacity);
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/BorrowedLimit.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/BorrowedLimit.java
@@ -12,13 +12,14 @@
   private static final int REQUESTS_PER_TICK = 6;
   private static final int RENEWALS_PER_LIFETIME = 4;
   private static final long SHORTEST_USE_NANOSECONDS = 200_000_000L;
+  private static final long ANSWER_EXPECTED_NANOSECONDS = 400_000_000L;
   private static final double GIVE_BACK_FACTOR = 1.1;
   private static final double SMALLEST_RATE = 1e-3;
   private static final double SMALLEST_CAPACITY = 0.05;
 
   private final String name;
   private final LendableSlice slice;
-  private final Allowance typicalSlice;
+  private Allowance typicalSlice = Allowance.NONE;
   private final long lifetimeNanoseconds;
   private final LenderRanking ranking = new LenderRanking();
   private final Map<LoanIdentifier, Asked> pending = new LinkedHashMap<>();
@@ -34,14 +35,16 @@
       long attempt,
       long attemptedNanoseconds) {}
 
-  BorrowedLimit(
-      String name, LendableSlice slice, Allowance typicalSlice, long lifetimeNanoseconds) {
+  BorrowedLimit(String name, LendableSlice slice, long lifetimeNanoseconds) {
     this.name = name;
     this.slice = slice;
-    this.typicalSlice = typicalSlice;
     this.lifetimeNanoseconds = lifetimeNanoseconds;
   }
 
+  void setTypicalSlice(Allowance changed) {
+    typicalSlice = changed;
+  }
+
   LendableSlice slice() {
     return slice;
   }
@@ -192,7 +195,9 @@
       List<AddressedMessage<LoanMessage>> messages) {
     Allowance missing = position.needed().minus(position.held());
     for (Asked asked : pending.values()) {
-      missing = missing.minus(asked.expected());
+      if (nowNanoseconds - asked.askedNanoseconds() < ANSWER_EXPECTED_NANOSECONDS) {
+        missing = missing.minus(asked.expected());
+      }
     }
     if (isSmall(missing)) {
       return;
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/ConcurrencyPermits.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/ConcurrencyPermits.java
@@ -62,11 +62,10 @@
   public synchronized Optional<Parcel> lend(
       LoanIdentifier loan, Allowance wanted, long lifetimeNanoseconds, long nowNanoseconds) {
     expire(nowNanoseconds);
-    if (nowNanoseconds >= ownValidUntilNanoseconds || lent.contains(loan)) {
+    if (lent.contains(loan)) {
       return Optional.empty();
     }
-    double free = own.capacity() - lent.sum().capacity() - Math.max(held, peak);
-    double granted = Math.floor(Math.min(wanted.capacity(), free));
+    double granted = Math.min(Math.floor(wanted.capacity()), spare(nowNanoseconds));
     if (granted < 1) {
       return Optional.empty();
     }
@@ -112,6 +111,7 @@
     expire(nowNanoseconds);
     return nowNanoseconds < ownValidUntilNanoseconds
         && waiting == 0
+        && !lent.sum().exceeds(own)
         && lent.extend(loan, nowNanoseconds + LimitTiming.withDrift(lifetimeNanoseconds));
   }
 
@@ -121,6 +121,12 @@
     lent.remove(loan);
   }
 
+  @Override
+  public synchronized Allowance surplus(long nowNanoseconds) {
+    expire(nowNanoseconds);
+    return new Allowance(0, spare(nowNanoseconds));
+  }
+
   @Override
   public synchronized Position position(long nowNanoseconds) {
     expire(nowNanoseconds);
@@ -132,6 +138,13 @@
     return new Position(new Allowance(0, total), new Allowance(0, needed), total - held);
   }
 
+  private double spare(long nowNanoseconds) {
+    if (nowNanoseconds >= ownValidUntilNanoseconds) {
+      return 0;
+    }
+    return Math.max(0, own.minus(lent.sum()).capacity() - Math.max(held, peak));
+  }
+
   private void expire(long nowNanoseconds) {
     lent.expire(nowNanoseconds);
     borrowed.expire(nowNanoseconds);
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/LendableSlice.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/LendableSlice.java
@@ -59,6 +59,9 @@
   /** Takes a lent loan back early; ignored if it is not outstanding. */
   void takeBack(LoanIdentifier loan, double tokens, long nowNanoseconds);
 
+  /** Returns what could be lent now. */
+  Allowance surplus(long nowNanoseconds);
+
   /** Returns what the slice has and needs; measures demand since the last call. */
   Position position(long nowNanoseconds);
 }
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/LoanBroker.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/LoanBroker.java
@@ -28,7 +28,7 @@
   }
 
   /**
-   * Puts a limit under the broker's care.
+   * Puts a limit under the broker's care. A limit whose slice stays the same keeps its loans.
    *
    * @param limit unique name
    * @param slice what this instance may spend of it
@@ -37,7 +37,12 @@
    */
   public void define(
       String limit, LendableSlice slice, Allowance typicalSlice, long loanLifetimeNanoseconds) {
-    limits.put(limit, new BorrowedLimit(limit, slice, typicalSlice, loanLifetimeNanoseconds));
+    BorrowedLimit entry = limits.get(limit);
+    if (entry == null || entry.slice() != slice) {
+      entry = new BorrowedLimit(limit, slice, loanLifetimeNanoseconds);
+      limits.put(limit, entry);
+    }
+    entry.setTypicalSlice(typicalSlice);
   }
 
   /** Drops a limit. */
@@ -106,13 +111,11 @@
     LendableSlice slice = limit.slice();
     Optional<LendableSlice.Parcel> parcel =
         slice.lend(request.loan(), request.wanted(), request.lifetimeNanoseconds(), nowNanoseconds);
-    LendableSlice.Position position = slice.position(nowNanoseconds);
-    Allowance surplus = position.held().minus(position.needed());
     return new LoanMessage.Grant(
         request.loan(),
         request.limit(),
         parcel.orElse(new LendableSlice.Parcel(Allowance.NONE, 0)),
-        surplus);
+        slice.surplus(nowNanoseconds));
   }
 
   private static List<AddressedMessage<LoanMessage>> renew(
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/SliceBucket.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/SliceBucket.java
@@ -41,13 +41,18 @@
     return tryTakeWaiting(amount, nowNanoseconds);
   }
 
+  /** Counts an arrival that does not take its tokens yet. */
+  public synchronized void countArrival(double amount) {
+    demand.arrived(amount);
+  }
+
   /** Takes tokens for a request that was counted when it arrived. */
   public synchronized boolean tryTakeWaiting(double amount, long nowNanoseconds) {
     advance(nowNanoseconds);
     if (tokens + ROUNDING < amount) {
       return false;
     }
-    tokens = Math.max(0, tokens - amount);
+    tokens -= amount;
     return true;
   }
 
@@ -78,8 +83,7 @@
     if (!ownActive || lent.contains(loan)) {
       return Optional.empty();
     }
-    Allowance free = held().minus(needed(nowNanoseconds)).limitedTo(own.minus(lent.sum()));
-    Allowance granted = wanted.limitedTo(free);
+    Allowance granted = wanted.limitedTo(spare(nowNanoseconds));
     if (granted.isEmpty()) {
       return Optional.empty();
     }
@@ -141,7 +145,7 @@
       LoanIdentifier loan, long lifetimeNanoseconds, long nowNanoseconds) {
     advance(nowNanoseconds);
     boolean inNeed = needed(nowNanoseconds).rate() > rate;
-    if (!ownActive || inNeed) {
+    if (!ownActive || inNeed || lent.sum().exceeds(own)) {
       return false;
     }
     boolean extended =
@@ -150,13 +154,35 @@
     return extended;
   }
 
+  /** Returns what can be spent now; demand is not measured. */
+  public synchronized Allowance held(long nowNanoseconds) {
+    advance(nowNanoseconds);
+    return current();
+  }
+
+  /** Returns the tokens that can be spent now. */
+  public synchronized double available(long nowNanoseconds) {
+    advance(nowNanoseconds);
+    return tokens;
+  }
+
+  @Override
+  public synchronized Allowance surplus(long nowNanoseconds) {
+    advance(nowNanoseconds);
+    return ownActive ? spare(nowNanoseconds) : Allowance.NONE;
+  }
+
   @Override
   public synchronized Position position(long nowNanoseconds) {
     advance(nowNanoseconds);
-    return new Position(held(), needed(nowNanoseconds), tokens);
+    return new Position(current(), needed(nowNanoseconds), tokens);
+  }
+
+  private Allowance spare(long nowNanoseconds) {
+    return current().minus(needed(nowNanoseconds)).limitedTo(own.minus(lent.sum()));
   }
 
-  private Allowance held() {
+  private Allowance current() {
     return new Allowance(rate, capacity);
   }
 
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/slots/CellRegister.java
@@ -0,0 +1,64 @@
+package org.corianderweir.logic.limits.slots;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The slots of a cell, as stored in the platform's service. A cell is a group of slots of one
+ * availability zone whose number never changes.
+ *
+ * @param holders holder of each slot; empty if the slot is free
+ */
+public record CellRegister(List<Optional<SlotHolder>> holders) {
+  /** Copies the list. */
+  public CellRegister {
+    holders = List.copyOf(holders);
+  }
+
+  /** Returns a register of free slots. */
+  public static CellRegister free(int slots) {
+    List<Optional<SlotHolder>> holders = new ArrayList<>();
+    for (int slot = 0; slot < slots; slot++) {
+      holders.add(Optional.empty());
+    }
+    return new CellRegister(holders);
+  }
+
+  /** Returns the smallest number of slots that is more than half. */
+  public int majority() {
+    return holders.size() / 2 + 1;
+  }
+
+  /** Returns the slots that a holder has. */
+  public List<Integer> slotsOf(SlotHolder holder) {
+    return matching(Optional.of(holder));
+  }
+
+  /** Returns the free slots. */
+  public List<Integer> freeSlots() {
+    return matching(Optional.empty());
+  }
+
+  /** Returns the holders, each once. */
+  public List<SlotHolder> distinctHolders() {
+    return holders.stream().flatMap(Optional::stream).distinct().toList();
+  }
+
+  /** Returns the register with some slots given to another holder, or freed. */
+  public CellRegister with(List<Integer> slots, Optional<SlotHolder> holder) {
+    List<Optional<SlotHolder>> changed = new ArrayList<>(holders);
+    slots.forEach(slot -> changed.set(slot, holder));
+    return new CellRegister(changed);
+  }
+
+  private List<Integer> matching(Optional<SlotHolder> wanted) {
+    List<Integer> slots = new ArrayList<>();
+    for (int slot = 0; slot < holders.size(); slot++) {
+      if (holders.get(slot).equals(wanted)) {
+        slots.add(slot);
+      }
+    }
+    return slots;
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/slots/SlotRelease.java
@@ -0,0 +1,58 @@
+package org.corianderweir.logic.limits.slots;
+
+import java.util.List;
+import java.util.Optional;
+import org.corianderweir.logic.limits.LimitTiming;
+
+/**
+ * Slots that are given up: first they are no longer spent, then the loans made from them end, only
+ * then the register is changed. Not thread-safe.
+ */
+final class SlotRelease {
+  private List<Integer> slots = List.of();
+  private Optional<SlotHolder> successor = Optional.empty();
+  private long loansEndedNanoseconds;
+  private boolean leaving;
+
+  void begin(List<Integer> released, Optional<SlotHolder> next, long nowNanoseconds) {
+    slots = List.copyOf(released);
+    successor = next;
+    loansEndedNanoseconds =
+        nowNanoseconds + LimitTiming.withDrift(LimitTiming.LOAN_LIFETIME.toNanos());
+  }
+
+  void leave() {
+    leaving = true;
+  }
+
+  boolean isLeaving() {
+    return leaving;
+  }
+
+  boolean isUnderway() {
+    return !slots.isEmpty();
+  }
+
+  List<Integer> withoutReleased(List<Integer> held) {
+    if (leaving) {
+      return List.of();
+    }
+    return held.stream().filter(slot -> !slots.contains(slot)).toList();
+  }
+
+  /** Returns the register without the released slots, once all loans made from them have ended. */
+  Optional<CellRegister> finished(CellRegister register, SlotHolder self, long nowNanoseconds) {
+    if (leaving) {
+      slots = register.slotsOf(self);
+    }
+    if (slots.isEmpty() || nowNanoseconds < loansEndedNanoseconds) {
+      return Optional.empty();
+    }
+    return Optional.of(register.with(slots, successor));
+  }
+
+  /** Forgets slots that are held no longer. */
+  void retain(List<Integer> held) {
+    slots = slots.stream().filter(held::contains).toList();
+  }
+}
--- /dev/null
+++ b/weirlib/src/test/java/org/corianderweir/logic/limits/SliceDivisionTest.java
@@ -0,0 +1,49 @@
+package org.corianderweir.logic.limits;
+
+import static org.testng.Assert.assertEquals;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link SliceDivision} and {@link FleetShape}: slices add up to the limit. */
+public class SliceDivisionTest {
+  @DataProvider
+  public Object[][] limits() {
+    return new Object[][] {
+      {new Allowance(100, 1), 6, 3},
+      {new Allowance(0.5, 5), 6, 3},
+      {new Allowance(1000, 17), 6, 3},
+      {new Allowance(7, 100), 1, 1},
+      {new Allowance(100_000, 20_000), 40, 68}
+    };
+  }
+
+  @Test(dataProvider = "limits")
+  public void slicesAddUpToTheLimit(Allowance limit, int zones, int slotsPerZone) {
+    FleetShape shape = shape(zones, slotsPerZone);
+    Allowance sum = Allowance.NONE;
+    for (String zone : shape.zones()) {
+      for (int slot = 0; slot < slotsPerZone; slot++) {
+        sum = sum.plus(shape.slice("organisation/zafu", limit, zone, slot));
+      }
+    }
+    assertEquals(new Allowance(Math.round(sum.rate() * 1e6) / 1e6, sum.capacity()), limit);
+  }
+
+  /** A burst of five over 18 slots gave each of them one token: 18 in all. */
+  @Test
+  public void smallBurstsAreNotRoundedUp() {
+    FleetShape shape = shape(6, 3);
+    double most =
+        shape.zones().stream()
+            .mapToDouble(zone -> shape.slice("small", new Allowance(1, 5), zone, 2).capacity())
+            .sum();
+    assertEquals(most <= 5, true);
+  }
+
+  private static FleetShape shape(int zones, int slotsPerZone) {
+    return new FleetShape(
+        java.util.stream.IntStream.range(0, zones).mapToObj(zone -> "zone-" + zone).toList(),
+        slotsPerZone);
+  }
+}
