Use slices and loans in the daemon

Cause: each daemon admitted a fixed eighteenth of each limit, and of a small burst more than that (a burst of 5 gave each of 18 instances one token). LimitService now holds slots by the zone's register, borrows ahead of need and lets a request wait until its deadline; Retry-After is worked out from the queue and the rate within reach. Peer messages 40-59, events 5001-5003.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -57,7 +57,17 @@
     membership =
         new MembershipService(
             self, incarnation, platform, control.loop(), events, configuration, transport, time);
-    LimitService limits = new LimitService(configuration);
+    LimitService limits =
+        LimitService.builder()
+            .withSelf(self, incarnation)
+            .withPlatform(platform)
+            .withLoop(control.loop())
+            .withEvents(events)
+            .withConfiguration(configuration)
+            .withMembership(membership)
+            .withTransport(transport)
+            .withTime(time)
+            .build();
     TrafficService traffic =
         new TrafficService(settings, configuration, membership, limits, events, metrics, time);
     OperatorService operators =
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/control/LimitServiceBuilder.java
@@ -0,0 +1,114 @@
+package org.corianderweir.daemon.control;
+
+import java.util.Objects;
+import org.corianderweir.daemon.peer.PeerTransport;
+import org.corianderweir.kernel.ControlLoop;
+import org.corianderweir.kernel.TimeSource;
+import org.corianderweir.logic.platform.PlatformService;
+import org.corianderweir.model.topology.EntryInstance;
+import org.jspecify.annotations.Nullable;
+
+/** Collects what a {@link LimitService} works with; everything must be set. */
+public final class LimitServiceBuilder {
+  private @Nullable EntryInstance self;
+  private long incarnation;
+  private @Nullable PlatformService platform;
+  private @Nullable ControlLoop loop;
+  private @Nullable EventLog events;
+  private @Nullable ConfigurationService configuration;
+  private @Nullable MembershipService membership;
+  private @Nullable PeerTransport transport;
+  private @Nullable TimeSource time;
+
+  LimitServiceBuilder() {}
+
+  /** Sets this entry instance and the incarnation of its process. */
+  public LimitServiceBuilder withSelf(EntryInstance instance, long newIncarnation) {
+    self = instance;
+    incarnation = newIncarnation;
+    return this;
+  }
+
+  /** Sets the service that keeps the registers of slots. */
+  public LimitServiceBuilder withPlatform(PlatformService service) {
+    platform = service;
+    return this;
+  }
+
+  /** Sets the control thread. */
+  public LimitServiceBuilder withLoop(ControlLoop controlLoop) {
+    loop = controlLoop;
+    return this;
+  }
+
+  /** Sets where events are recorded. */
+  public LimitServiceBuilder withEvents(EventLog log) {
+    events = log;
+    return this;
+  }
+
+  /** Sets where the limits come from. */
+  public LimitServiceBuilder withConfiguration(ConfigurationService service) {
+    configuration = service;
+    return this;
+  }
+
+  /** Sets where the other instances come from. */
+  public LimitServiceBuilder withMembership(MembershipService service) {
+    membership = service;
+    return this;
+  }
+
+  /** Sets how messages are sent. */
+  public LimitServiceBuilder withTransport(PeerTransport peerTransport) {
+    transport = peerTransport;
+    return this;
+  }
+
+  /** Sets the clocks. */
+  public LimitServiceBuilder withTime(TimeSource source) {
+    time = source;
+    return this;
+  }
+
+  /** Builds the service. */
+  public LimitService build() {
+    return new LimitService(this);
+  }
+
+  EntryInstance self() {
+    return Objects.requireNonNull(self);
+  }
+
+  long incarnation() {
+    return incarnation;
+  }
+
+  PlatformService platform() {
+    return Objects.requireNonNull(platform);
+  }
+
+  ControlLoop loop() {
+    return Objects.requireNonNull(loop);
+  }
+
+  EventLog events() {
+    return Objects.requireNonNull(events);
+  }
+
+  ConfigurationService configuration() {
+    return Objects.requireNonNull(configuration);
+  }
+
+  MembershipService membership() {
+    return Objects.requireNonNull(membership);
+  }
+
+  PeerTransport transport() {
+    return Objects.requireNonNull(transport);
+  }
+
+  TimeSource time() {
+    return Objects.requireNonNull(time);
+  }
+}
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/control/SlotExchange.java
@@ -0,0 +1,170 @@
+package org.corianderweir.daemon.control;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.corianderweir.daemon.peer.PeerTransport;
+import org.corianderweir.kernel.ControlLoop;
+import org.corianderweir.kernel.TimeSource;
+import org.corianderweir.logic.limits.FleetLimits;
+import org.corianderweir.logic.limits.slots.CellRegister;
+import org.corianderweir.logic.limits.slots.CellView;
+import org.corianderweir.logic.limits.slots.SlotAction;
+import org.corianderweir.logic.limits.slots.SlotHolder;
+import org.corianderweir.logic.membership.Member;
+import org.corianderweir.logic.platform.PlatformService;
+import org.corianderweir.model.platform.StoredValue;
+import org.corianderweir.model.platform.WriteResult;
+import org.corianderweir.model.timeline.EventCode;
+import org.corianderweir.model.topology.EntryInstance;
+import org.corianderweir.protocol.Json;
+import org.corianderweir.protocol.LimitMessage;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends the messages of the limits, and reads and writes the register of the zone's slots. Used by
+ * the control thread alone.
+ */
+final class SlotExchange {
+  private static final String KEY_PREFIX = "limits/";
+
+  private final EntryInstance self;
+  private final PlatformService platform;
+  private final ControlLoop loop;
+  private final EventLog events;
+  private final PeerTransport transport;
+  private final FleetLimits limits;
+  private final TimeSource time;
+  private List<Member> members = List.of();
+  private Map<String, EntryInstance> addresses = Map.of();
+  private List<Integer> reportedSlots = List.of();
+  private boolean reportedConfirmed = true;
+
+  SlotExchange(
+      EntryInstance self,
+      PlatformService platform,
+      ControlLoop loop,
+      EventLog events,
+      PeerTransport transport,
+      FleetLimits limits,
+      TimeSource time) {
+    this.self = self;
+    this.platform = platform;
+    this.loop = loop;
+    this.events = events;
+    this.transport = transport;
+    this.limits = limits;
+    this.time = time;
+  }
+
+  /** Takes note of the live members and returns them. */
+  List<Member> observe(List<Member> current) {
+    if (current != members) {
+      members = current;
+      Map<String, EntryInstance> changed = new HashMap<>();
+      current.forEach(member -> changed.put(member.instance().name(), member.instance()));
+      addresses = changed;
+    }
+    return current;
+  }
+
+  void perform(FleetLimits.Actions actions) {
+    actions
+        .loans()
+        .forEach(
+            loan -> {
+              EntryInstance target = addresses.get(loan.target());
+              if (target != null) {
+                transport.send(target, new LimitMessage.Loan(loan.message()));
+              }
+            });
+    actions.slots().forEach(this::execute);
+    report();
+  }
+
+  private void execute(SlotAction action) {
+    switch (action) {
+      case SlotAction.Send send ->
+          transport.send(address(send.target()), new LimitMessage.Slot(send.message()));
+      case SlotAction.ReadRegister read ->
+          platform
+              .read(KEY_PREFIX + self.availabilityZone())
+              .whenComplete((stored, failure) -> loop.execute(() -> wasRead(stored, failure)));
+      case SlotAction.WriteRegister write ->
+          platform
+              .compareAndSwap(
+                  KEY_PREFIX + self.availabilityZone(),
+                  write.expectedVersion(),
+                  Json.write(write.register()))
+              .whenComplete(
+                  (result, failure) ->
+                      loop.execute(() -> wasWritten(write.register(), result, failure)));
+    }
+  }
+
+  private EntryInstance address(SlotHolder holder) {
+    EntryInstance known = addresses.get(holder.instance());
+    boolean sameAddress =
+        known != null
+            && known.host().equals(holder.host())
+            && known.peerPort() == holder.peerPort();
+    return known != null && sameAddress
+        ? known
+        : new EntryInstance(
+            holder.instance(),
+            self.region(),
+            self.availabilityZone(),
+            holder.host(),
+            0,
+            0,
+            holder.peerPort());
+  }
+
+  private void wasRead(Optional<StoredValue> stored, @Nullable Throwable failure) {
+    if (failure != null) {
+      limits.member().storeFailed();
+      return;
+    }
+    CellView view =
+        stored
+            .map(
+                value ->
+                    new CellView(value.version(), Json.read(value.value(), CellRegister.class)))
+            .orElseGet(() -> new CellView(0, CellRegister.free(LimitService.SLOTS_PER_ZONE)));
+    limits.registerStored(view, time.monotonicNanoseconds());
+    report();
+  }
+
+  private void wasWritten(
+      CellRegister register, @Nullable WriteResult result, @Nullable Throwable failure) {
+    if (failure != null || result == null) {
+      limits.member().storeFailed();
+      return;
+    }
+    switch (result) {
+      case WriteResult.Written written ->
+          limits.registerStored(
+              new CellView(written.version(), register), time.monotonicNanoseconds());
+      case WriteResult.Conflict conflict -> limits.member().registerConflict();
+    }
+    report();
+  }
+
+  private void report() {
+    List<Integer> slots = limits.member().slots();
+    if (!slots.equals(reportedSlots)) {
+      reportedSlots = slots;
+      events.record(EventCode.LIMIT_SLOTS_CHANGED, self.name(), "slots=" + slots);
+    }
+    long now = time.monotonicNanoseconds();
+    boolean confirmed = slots.isEmpty() || limits.member().validUntilNanoseconds(now) > now;
+    if (confirmed != reportedConfirmed) {
+      reportedConfirmed = confirmed;
+      events.record(
+          confirmed ? EventCode.LIMIT_SLOTS_CONFIRMED : EventCode.LIMIT_SLOTS_UNCONFIRMED,
+          self.name(),
+          "slots=" + slots);
+    }
+  }
+}
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestPipeline.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestPipeline.java
@@ -120,16 +120,19 @@
           context.identifier(), RefusalReason.ROUTE_FORBIDDEN, "not for this organisation");
     }
     return limits
-        .admit(organisation, time.monotonicNanoseconds())
+        .admit(organisation, context.deadlineNanoseconds(), time.monotonicNanoseconds())
         .thenCompose(
             decision ->
                 switch (decision) {
                   case AdmissionDecision.Admitted admitted -> deliver(context);
                   case AdmissionDecision.Refused refused ->
                       refuse(
-                          context.identifier(),
-                          RefusalReason.RATE_EXCEEDED,
-                          "the organisation is over its rate");
+                              context.identifier(),
+                              RefusalReason.RATE_EXCEEDED,
+                              "the organisation is over its rate")
+                          .thenApply(
+                              reply ->
+                                  Refusals.retryAfter(reply, refused.retryAfterMilliseconds()));
                 });
   }
 
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/AdmissionGate.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/AdmissionGate.java
@@ -30,16 +30,6 @@
     void decided(AdmissionDecision decision);
   }
 
-  /** What becomes of a request now. */
-  public enum Verdict {
-    /** It may go on. */
-    ADMITTED,
-    /** It waits; the waiter will be told. */
-    WAITING,
-    /** It can't be admitted before its deadline. */
-    REFUSED
-  }
-
   /**
    * Creates a gate.
    *
@@ -61,12 +51,31 @@
     reachableRate = tokensPerSecond;
   }
 
-  /** Decides on a request without allocating when it is admitted at once. */
-  public Verdict request(Waiter waiter, long deadlineNanoseconds, long nowNanoseconds) {
-    if (waitingCount == 0 && bucket.tryTake(1, nowNanoseconds)) {
-      return Verdict.ADMITTED;
+  /** Admits a request at once if there is an allowance and nobody waits; allocates nothing. */
+  public boolean tryAdmit(long nowNanoseconds) {
+    if (waitingCount > 0) {
+      bucket.countArrival(1);
+      return false;
     }
-    return join(waiter, deadlineNanoseconds, nowNanoseconds);
+    return bucket.tryTake(1, nowNanoseconds);
+  }
+
+  /**
+   * Lets a request wait that was not admitted at once. Returns false if it can't be admitted before
+   * its deadline; the waiter is not told then.
+   */
+  public synchronized boolean tryWait(
+      Waiter waiter, long deadlineNanoseconds, long nowNanoseconds) {
+    double rate = reachableRate;
+    double waitNanoseconds = rate <= 0 ? 0 : waiting.size() * NANOSECONDS_PER_SECOND / rate;
+    boolean hopeless = nowNanoseconds + waitNanoseconds > deadlineNanoseconds;
+    if (hopeless || waiting.size() >= WAITING_LIMIT) {
+      return false;
+    }
+    waiting.addLast(new Waiting(waiter, deadlineNanoseconds));
+    waitingCount = waiting.size();
+    bucket.setBacklog(waiting.size());
+    return true;
   }
 
   /** Returns how long a refused caller should wait before it tries again. */
@@ -124,20 +133,4 @@
     bucket.setBacklog(waiting.size());
     return decided;
   }
-
-  private synchronized Verdict join(Waiter waiter, long deadlineNanoseconds, long nowNanoseconds) {
-    if (!waiting.isEmpty()) {
-      bucket.countArrival(1);
-    }
-    double rate = reachableRate;
-    double waitNanoseconds = rate <= 0 ? 0 : waiting.size() * NANOSECONDS_PER_SECOND / rate;
-    boolean hopeless = nowNanoseconds + waitNanoseconds > deadlineNanoseconds;
-    if (hopeless || waiting.size() >= WAITING_LIMIT) {
-      return Verdict.REFUSED;
-    }
-    waiting.addLast(new Waiting(waiter, deadlineNanoseconds));
-    waitingCount = waiting.size();
-    bucket.setBacklog(waiting.size());
-    return Verdict.WAITING;
-  }
 }
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/FleetLimits.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/FleetLimits.java
@@ -39,7 +39,8 @@
 
   private record Retired(Limited limited, long forgetNanoseconds) {}
 
-  private record Limited(Allowance limit, LendableSlice slice, Optional<AdmissionGate> gate) {}
+  private record Limited(
+      Allowance limit, LendableSlice slice, Optional<AdmissionGate> gate, long settleNanoseconds) {}
 
   /**
    * What is to be sent and stored.
@@ -93,7 +94,7 @@
         known == null
             ? new AdmissionGate(bucket, limit.rate())
             : known.gate().orElseGet(() -> new AdmissionGate(bucket, limit.rate()));
-    put(limitName, new Limited(limit, bucket, Optional.of(gate)), RATE_LOAN_NANOSECONDS);
+    put(limitName, new Limited(limit, bucket, Optional.of(gate), 0), RATE_LOAN_NANOSECONDS);
     apply(nowNanoseconds);
   }
 
@@ -114,7 +115,7 @@
         known != null && known.slice() instanceof ConcurrencyPermits kept
             ? kept
             : new ConcurrencyPermits();
-    put(limitName, new Limited(limit, slice, Optional.empty()), loanNanoseconds);
+    put(limitName, new Limited(limit, slice, Optional.empty(), loanNanoseconds), loanNanoseconds);
     apply(nowNanoseconds);
   }
 
@@ -218,13 +219,13 @@
 
   /** Gives each slice what the slots held call for, as long as the instance is sure of them. */
   private void apply(long nowNanoseconds) {
-    List<Integer> slots = member.slots();
     long validUntil = member.validUntilNanoseconds(nowNanoseconds);
     boolean settled = nowNanoseconds >= settledNanoseconds;
     limits.forEach(
         (name, limited) -> {
-          Allowance own = own(shape, name, limited.limit(), slots);
-          Allowance former = settled ? own : own(formerShape, name, limited.limit(), slots);
+          List<Integer> usable = member.settledSlots(limited.settleNanoseconds(), nowNanoseconds);
+          Allowance own = own(shape, name, limited.limit(), usable);
+          Allowance former = settled ? own : own(formerShape, name, limited.limit(), usable);
           limited.slice().setOwn(own.limitedTo(former), nowNanoseconds);
           limited.slice().renewOwn(validUntil, nowNanoseconds);
         });
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/slots/CellMember.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/slots/CellMember.java
@@ -20,6 +20,7 @@
   private final long startedNanoseconds;
   private final Confirmations confirmations = new Confirmations();
   private final SilenceVotes votes = new SilenceVotes(LimitTiming.TAKEOVER.toNanos());
+  private final GainedSlots gained = new GainedSlots();
   private final SlotRelease release = new SlotRelease();
   private CellView view;
   private boolean registerKnown;
@@ -48,6 +49,17 @@
     return release.withoutReleased(view.register().slotsOf(self));
   }
 
+  /**
+   * Returns the slots of {@link #slots()} on which no request of a former holder can still run.
+   *
+   * @param settleNanoseconds longest time that a former holder's request or loan may last
+   */
+  public List<Integer> settledSlots(long settleNanoseconds, long nowNanoseconds) {
+    return slots().stream()
+        .filter(slot -> gained.settled(slot, settleNanoseconds, nowNanoseconds))
+        .toList();
+  }
+
   /** Returns the register as known. */
   public CellView view() {
     return view;
@@ -277,6 +289,7 @@
       return;
     }
     boolean held = !view.register().slotsOf(self).isEmpty();
+    gained.registerChanged(view, other, self, nowNanoseconds);
     view = other;
     if (!held && !view.register().slotsOf(self).isEmpty()) {
       joinedNanoseconds = nowNanoseconds;
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/slots/CellRegister.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/slots/CellRegister.java
@@ -3,17 +3,20 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * The slots of a cell, as stored in the platform's service. A cell is a group of slots of one
  * availability zone whose number never changes.
  *
  * @param holders holder of each slot; empty if the slot is free
+ * @param everHeld slots that have had a holder at any time, in ascending order
  */
-public record CellRegister(List<Optional<SlotHolder>> holders) {
-  /** Copies the list. */
+public record CellRegister(List<Optional<SlotHolder>> holders, List<Integer> everHeld) {
+  /** Copies the lists. */
   public CellRegister {
     holders = List.copyOf(holders);
+    everHeld = List.copyOf(everHeld);
   }
 
   /** Returns a register of free slots. */
@@ -22,7 +25,7 @@
     for (int slot = 0; slot < slots; slot++) {
       holders.add(Optional.empty());
     }
-    return new CellRegister(holders);
+    return new CellRegister(holders, List.of());
   }
 
   /** Returns the smallest number of slots that is more than half. */
@@ -49,7 +52,9 @@
   public CellRegister with(List<Integer> slots, Optional<SlotHolder> holder) {
     List<Optional<SlotHolder>> changed = new ArrayList<>(holders);
     slots.forEach(slot -> changed.set(slot, holder));
-    return new CellRegister(changed);
+    List<Integer> held =
+        Stream.concat(everHeld.stream(), slots.stream()).distinct().sorted().toList();
+    return new CellRegister(changed, held);
   }
 
   private List<Integer> matching(Optional<SlotHolder> wanted) {
--- a/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
+++ b/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
@@ -37,7 +37,13 @@
   /** A request was answered by a backend server. */
   REQUEST_ANSWERED(4003, Severity.DEBUG, "Request answered"),
   /** A request's outcome is not known. */
-  REQUEST_UNKNOWN(4004, Severity.WARNING, "Request outcome unknown");
+  REQUEST_UNKNOWN(4004, Severity.WARNING, "Request outcome unknown"),
+  /** This instance holds other slots of its availability zone than before. */
+  LIMIT_SLOTS_CHANGED(5001, Severity.INFO, "Limit slots changed"),
+  /** A majority of the zone's slots did not confirm this instance, so it spends only loans. */
+  LIMIT_SLOTS_UNCONFIRMED(5002, Severity.WARNING, "Limit slots not confirmed"),
+  /** A majority of the zone's slots confirms this instance again. */
+  LIMIT_SLOTS_CONFIRMED(5003, Severity.INFO, "Limit slots confirmed");
 
   private final int number;
   private final Severity severity;
--- a/weirlib/src/main/java/org/corianderweir/protocol/PeerMessage.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/PeerMessage.java
@@ -1,4 +1,4 @@
 package org.corianderweir.protocol;
 
 /** A message between two entry instances. */
-public sealed interface PeerMessage permits MembershipMessage, ConfigurationMessage {}
+public sealed interface PeerMessage permits MembershipMessage, ConfigurationMessage, LimitMessage {}
--- a/weirlib/src/main/java/org/corianderweir/protocol/PeerMessageCodec.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/PeerMessageCodec.java
@@ -35,6 +35,7 @@
                 .packInt(CONFIGURATION_OFFER)
                 .packLong(offer.revision())
                 .packString(offer.document());
+        case LimitMessage limit -> LimitMessageCodec.pack(packer, limit);
       }
       return packer.toByteArray();
     } catch (IOException impossible) {
@@ -61,6 +62,9 @@
 
   private static PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
     int type = unpacker.unpackInt();
+    if (type >= LimitMessageCodec.FIRST_TYPE && type <= LimitMessageCodec.LAST_TYPE) {
+      return LimitMessageCodec.unpack(type, unpacker);
+    }
     return switch (type) {
       case HEARTBEAT -> unpackHeartbeat(unpacker);
       case CONFIGURATION_REQUEST -> new ConfigurationMessage.Request(unpacker.unpackLong());
--- a/weirlib/src/test/java/org/corianderweir/protocol/PeerMessageCodecTest.java
+++ b/weirlib/src/test/java/org/corianderweir/protocol/PeerMessageCodecTest.java
@@ -3,6 +3,16 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
 
+import java.util.List;
+import java.util.Optional;
+import org.corianderweir.logic.limits.Allowance;
+import org.corianderweir.logic.limits.LendableSlice;
+import org.corianderweir.logic.limits.LoanIdentifier;
+import org.corianderweir.logic.limits.LoanMessage;
+import org.corianderweir.logic.limits.slots.CellRegister;
+import org.corianderweir.logic.limits.slots.CellView;
+import org.corianderweir.logic.limits.slots.SlotHolder;
+import org.corianderweir.logic.limits.slots.SlotMessage;
 import org.corianderweir.logic.membership.Member;
 import org.corianderweir.model.WeirException;
 import org.corianderweir.model.timeline.HybridTimestamp;
@@ -16,6 +26,15 @@
   private static final EntryInstance INSTANCE =
       new EntryInstance("entry-1", "lagos", "lagos-1", "127.1.1.1", 1, 2, 3);
 
+  private static final LoanIdentifier LOAN = new LoanIdentifier("entry-1", 2, 3);
+  private static final SlotHolder HOLDER = new SlotHolder("entry-1", "127.1.1.1", 3, 4);
+  private static final CellView VIEW =
+      new CellView(9, CellRegister.free(3).with(List.of(1), Optional.of(HOLDER)));
+
+  private static LimitMessage loan(LoanMessage message) {
+    return new LimitMessage.Loan(message);
+  }
+
   @DataProvider
   public Object[][] messages() {
     return new Object[][] {
@@ -24,7 +43,24 @@
             new Member(INSTANCE, 7, InstanceState.SERVING, 9), new HybridTimestamp(5, 6))
       },
       {new ConfigurationMessage.Request(4)},
-      {new ConfigurationMessage.Offer(5, "{}")}
+      {new ConfigurationMessage.Offer(5, "{}")},
+      {loan(new LoanMessage.Request(LOAN, "organisation/a", new Allowance(1.5, 2), 7))},
+      {
+        loan(
+            new LoanMessage.Grant(
+                LOAN,
+                "organisation/a",
+                new LendableSlice.Parcel(new Allowance(1, 2), 0.5),
+                Allowance.NONE))
+      },
+      {loan(new LoanMessage.Renewal(LOAN, "organisation/a", 3, 7))},
+      {loan(new LoanMessage.Renewed(LOAN, "organisation/a", 3))},
+      {loan(new LoanMessage.Return(LOAN, "organisation/a", 0.25))},
+      {new LimitMessage.Slot(new SlotMessage.Probe(HOLDER, -5, VIEW))},
+      {new LimitMessage.Slot(new SlotMessage.Confirmation(HOLDER, -5, VIEW, List.of(HOLDER)))},
+      {new LimitMessage.Slot(new SlotMessage.VoteRequest(HOLDER, HOLDER, 3))},
+      {new LimitMessage.Slot(new SlotMessage.Vote(HOLDER, HOLDER, 3))},
+      {new LimitMessage.Slot(new SlotMessage.HandoverRequest(HOLDER))}
     };
   }
 
