--- a/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
+++ b/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
@@ -55,7 +55,13 @@
   /** A destination is not ready, so the traffic of a selector does not move. */
   SHIFT_HELD(4503, Severity.WARNING, "Shift held"),
   /** An operator paused the shift of a selector. */
-  SHIFT_PAUSED(4504, Severity.INFO, "Shift paused");
+  SHIFT_PAUSED(4504, Severity.INFO, "Shift paused"),
+  /** This instance holds other slots of its availability zone than before. */
+  LIMIT_SLOTS_CHANGED(5001, Severity.INFO, "Limit slots changed"),
+  /** A majority of the zone's slots did not confirm this instance, so it spends only loans. */
+  LIMIT_SLOTS_UNCONFIRMED(5002, Severity.WARNING, "Limit slots not confirmed"),
+  /** A majority of the zone's slots confirms this instance again. */
+  LIMIT_SLOTS_CONFIRMED(5003, Severity.INFO, "Limit slots confirmed");
 
   private final int number;
   private final Severity severity;
