--- a/weirdaemon/src/test/java/org/corianderweir/daemon/peer/PeerTransportTest.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/peer/PeerTransportTest.java
@@ -143,7 +143,7 @@
     receiver.onMessage(ConfigurationMessage.class, message -> awaitQuietly(release));
     String document = "x".repeat(1_000_000);
     for (int number = 0; number < 100; number++) {
-      sender.send(second, new ConfigurationMessage.Offer(number, document));
+      sender.send(second, new ConfigurationMessage.Document(document));
     }
     release.countDown();
     assertEquals(metrics.meter("peers.dropped").getCount() > 50, true);
--- a/weirlib/src/main/java/org/corianderweir/logic/membership/MembershipTable.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/membership/MembershipTable.java
@@ -33,6 +33,16 @@
     return known == null || known.member().incarnation() < member.incarnation();
   }
 
+  /** Gives every instance the full time again; for when the own process was paused. */
+  public void forgiveSilence(long nowNanoseconds) {
+    entries.replaceAll((name, entry) -> new Entry(entry.member(), nowNanoseconds));
+  }
+
+  /** Returns whether an instance is in the table. */
+  public boolean contains(String name) {
+    return entries.containsKey(name);
+  }
+
   /** Forgets instances that were silent too long and returns them. */
   public List<Member> expire(long nowNanoseconds) {
     List<Member> silent = new ArrayList<>();
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/membership/Relays.java
@@ -0,0 +1,41 @@
+package org.corianderweir.logic.membership;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import net.openhft.hashing.LongHashFunction;
+import org.corianderweir.model.topology.InstanceState;
+
+/**
+ * Chooses the relays of an availability zone by rendezvous hashing (Thaler and Ravishankar, 1998).
+ * Two views of the zone may lead to different relays; that costs calls and is never a fault.
+ */
+public final class Relays {
+  /** Number of relays of a zone. */
+  public static final int COUNT = 2;
+
+  private static final LongHashFunction HASH = LongHashFunction.xx3();
+
+  private Relays() {}
+
+  /** Returns members that are not leaving, those that become relays first. */
+  public static List<Member> ranked(Collection<Member> members) {
+    return members.stream()
+        .filter(member -> member.state() != InstanceState.LEAVING)
+        .sorted(
+            Comparator.comparingLong(Relays::rank)
+                .thenComparing(member -> member.instance().name()))
+        .toList();
+  }
+
+  /** Returns whether an instance is a relay among the members of its zone. */
+  public static boolean isRelay(Collection<Member> members, String name) {
+    return ranked(members).stream()
+        .limit(COUNT)
+        .anyMatch(member -> member.instance().name().equals(name));
+  }
+
+  private static long rank(Member member) {
+    return HASH.hashChars(member.instance().availabilityZone() + '/' + member.instance().name());
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/membership/ZoneDirectory.java
@@ -0,0 +1,118 @@
+package org.corianderweir.logic.membership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+import org.corianderweir.model.platform.ListedInstance;
+import org.corianderweir.model.topology.EntryInstance;
+
+/**
+ * What is known of the other availability zones: a sample of each, and the platform's list as a
+ * hint where there is none. Its size grows with the zones, not with the instances. Used by the
+ * control thread alone.
+ */
+public final class ZoneDirectory {
+  private static final long SAMPLE_LIFETIME_NANOSECONDS = Duration.ofMinutes(2).toNanos();
+
+  private final String ownZone;
+  private final Map<String, Entry> entries = new TreeMap<>();
+  private Map<String, List<EntryInstance>> hints = Map.of();
+
+  private record Entry(ZoneSample sample, long heardNanoseconds) {}
+
+  /** Creates an empty directory of an instance in a zone. */
+  public ZoneDirectory(String ownZone) {
+    this.ownZone = ownZone;
+  }
+
+  /** Replaces the hints by the platform's list, which lags. */
+  public void hint(Collection<ListedInstance> listed) {
+    Map<String, List<EntryInstance>> byZone = new TreeMap<>();
+    for (ListedInstance instance : listed) {
+      byZone
+          .computeIfAbsent(instance.instance().availabilityZone(), zone -> new ArrayList<>())
+          .add(instance.instance());
+    }
+    hints = byZone;
+  }
+
+  /**
+   * Takes a sample of another zone.
+   *
+   * @param firstHand whether an instance of that zone sent it
+   * @return whether it names other instances than the known one
+   */
+  public boolean heard(ZoneSample sample, boolean firstHand, long nowNanoseconds) {
+    Entry known = entries.get(sample.zone());
+    boolean older = known != null && sample.version() <= known.sample().version();
+    if (sample.zone().equals(ownZone) || (older && !firstHand)) {
+      return false;
+    }
+    entries.put(sample.zone(), new Entry(sample, nowNanoseconds));
+    return known == null || !known.sample().namesSameInstances(sample);
+  }
+
+  /** Forgets samples that nobody has renewed for long. */
+  public void expire(long nowNanoseconds) {
+    entries
+        .values()
+        .removeIf(entry -> nowNanoseconds - entry.heardNanoseconds() > SAMPLE_LIFETIME_NANOSECONDS);
+  }
+
+  /** Returns the other zones that have entry instances, as far as known. */
+  public Set<String> zones() {
+    Set<String> zones = new TreeSet<>(hints.keySet());
+    zones.addAll(entries.keySet());
+    zones.remove(ownZone);
+    return zones;
+  }
+
+  /** Returns the samples. */
+  public List<ZoneSample> samples() {
+    return entries.values().stream().map(Entry::sample).toList();
+  }
+
+  /** Returns instances of the own zone that the platform lists. */
+  public List<EntryInstance> listedInOwnZone() {
+    return hints.getOrDefault(ownZone, List.of());
+  }
+
+  /** Chooses an instance of another zone to ask, relays and hints alike. */
+  public Optional<EntryInstance> contact(String zone, RandomGenerator random) {
+    List<EntryInstance> candidates = new ArrayList<>(relays(zone));
+    if (candidates.isEmpty() || random.nextInt(4) == 0) {
+      candidates.addAll(hints.getOrDefault(zone, List.of()));
+    }
+    return candidates.isEmpty()
+        ? Optional.empty()
+        : Optional.of(candidates.get(random.nextInt(candidates.size())));
+  }
+
+  /** Returns the relays of another zone, as far as known. */
+  public List<EntryInstance> relays(String zone) {
+    Entry entry = entries.get(zone);
+    return entry == null
+        ? List.of()
+        : entry.sample().members().stream().limit(Relays.COUNT).map(Member::instance).toList();
+  }
+
+  /** Finds an instance of any zone by its name. */
+  public Optional<EntryInstance> address(String name) {
+    Stream<EntryInstance> sampled =
+        entries.values().stream()
+            .flatMap(entry -> entry.sample().members().stream())
+            .map(Member::instance);
+    Stream<EntryInstance> listed = hints.values().stream().flatMap(List::stream);
+    return Stream.concat(sampled, listed)
+        .filter(instance -> instance.name().equals(name))
+        .findFirst();
+  }
+}
--- a/weirlib/src/main/java/org/corianderweir/protocol/ConfigurationDocuments.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/ConfigurationDocuments.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import net.openhft.hashing.LongHashFunction;
+import org.corianderweir.logic.configuration.ConfigurationBundle;
 import org.corianderweir.logic.configuration.ContentHash;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
@@ -38,31 +39,12 @@
 
   private ConfigurationDocuments() {}
 
-  /**
-   * A configuration as it is stored and sent.
-   *
-   * @param head the head
-   * @param index the index
-   * @param indexText text of the index, whose hash the head has
-   * @param texts texts of the documents by their hash
-   */
-  public record Bundle(
-      ConfigurationHead head,
-      ConfigurationIndex index,
-      String indexText,
-      Map<String, String> texts) {
-    /** Copies the map. */
-    public Bundle {
-      texts = Map.copyOf(texts);
-    }
-  }
-
   /**
    * Splits a configuration.
    *
    * @throws WeirException with code {@code CONFIGURATION_INVALID} if a document gets too large
    */
-  public static Bundle split(
+  public static ConfigurationBundle split(
       Configuration configuration, AcceptedChange change, List<PastRevision> history) {
     List<DocumentReference> references = new ArrayList<>();
     Map<String, String> texts = new LinkedHashMap<>();
@@ -78,7 +60,7 @@
     ConfigurationHead head =
         new ConfigurationHead(
             configuration.revision(), configuration.operation(), ContentHash.of(indexText));
-    return new Bundle(head, index, indexText, texts);
+    return new ConfigurationBundle(head, index, indexText, texts);
   }
 
   /**
--- a/weirlib/src/main/java/org/corianderweir/protocol/ConfigurationMessage.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/ConfigurationMessage.java
@@ -1,19 +1,42 @@
 package org.corianderweir.protocol;
 
+import org.corianderweir.model.configuration.ConfigurationHead;
+
 /** Messages by which a configuration spreads. */
 public sealed interface ConfigurationMessage extends PeerMessage {
   /**
-   * Asks for the configuration if the receiver's is newer.
+   * Says that a revision is in force at the sender.
+   *
+   * @param revision the revision
+   */
+  record Notice(long revision) implements ConfigurationMessage {}
+
+  /**
+   * Asks for the head and index if the receiver's revision is newer.
    *
    * @param knownRevision revision that the sender has
    */
   record Request(long knownRevision) implements ConfigurationMessage {}
 
   /**
-   * Hands on a configuration.
+   * Hands on the head and index in force at the sender.
+   *
+   * @param head the head
+   * @param indexText text of the index
+   */
+  record Offer(ConfigurationHead head, String indexText) implements ConfigurationMessage {}
+
+  /**
+   * Asks for a document.
+   *
+   * @param hash its hash
+   */
+  record DocumentRequest(String hash) implements ConfigurationMessage {}
+
+  /**
+   * Hands on a document.
    *
-   * @param revision its revision
-   * @param document its JSON text in UTF-8
+   * @param text its text
    */
-  record Offer(long revision, String document) implements ConfigurationMessage {}
+  record Document(String text) implements ConfigurationMessage {}
 }
--- a/weirlib/src/test/java/org/corianderweir/architecture/LayersTest.java
+++ b/weirlib/src/test/java/org/corianderweir/architecture/LayersTest.java
@@ -25,6 +25,8 @@
         .definedBy("org.corianderweir.kernel..")
         .layer("protocol")
         .definedBy("org.corianderweir.protocol..")
+        .layer("coordination")
+        .definedBy("org.corianderweir.coordination..")
         .whereLayer("model")
         .mayNotAccessAnyLayer()
         .whereLayer("logic")
@@ -33,6 +35,8 @@
         .mayOnlyAccessLayers("model")
         .whereLayer("protocol")
         .mayOnlyAccessLayers("model", "logic")
+        .whereLayer("coordination")
+        .mayOnlyAccessLayers("model", "logic", "protocol")
         .check(classes);
   }
 }
--- a/weirlib/src/test/java/org/corianderweir/protocol/ConfigurationDocumentsTest.java
+++ b/weirlib/src/test/java/org/corianderweir/protocol/ConfigurationDocumentsTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import org.corianderweir.logic.configuration.ConfigurationBundle;
 import org.corianderweir.model.WeirException;
 import org.corianderweir.model.configuration.AcceptedChange;
 import org.corianderweir.model.configuration.AccessKey;
@@ -36,7 +37,7 @@
         .build();
   }
 
-  private static ConfigurationDocuments.Bundle split(Configuration configuration) {
+  private static ConfigurationBundle split(Configuration configuration) {
     AcceptedChange change = new AcceptedChange(7, "entry-1/5", "a change", 9);
     return ConfigurationDocuments.split(configuration, change, List.of());
   }
@@ -50,7 +51,7 @@
   @Test(dataProvider = "sizes")
   public void assemblesWhatWasSplit(int keys) {
     Configuration configuration = configuration(keys, -1);
-    ConfigurationDocuments.Bundle bundle = split(configuration);
+    ConfigurationBundle bundle = split(configuration);
     Configuration assembled =
         ConfigurationDocuments.assemble(
             ConfigurationDocuments.readIndex(bundle.head(), bundle.indexText()),
@@ -68,7 +69,7 @@
 
   @Test
   public void refusesDocumentsWithAnotherContent() {
-    ConfigurationDocuments.Bundle bundle = split(configuration(3, -1));
+    ConfigurationBundle bundle = split(configuration(3, -1));
     assertThrows(
         WeirException.class,
         () -> ConfigurationDocuments.assemble(bundle.index(), hash -> Optional.of("[{\"a\":1}]")));
@@ -76,7 +77,7 @@
 
   @Test
   public void refusesIndexOfAnotherHead() {
-    ConfigurationDocuments.Bundle bundle = split(configuration(3, -1));
+    ConfigurationBundle bundle = split(configuration(3, -1));
     assertThrows(
         WeirException.class,
         () -> ConfigurationDocuments.readIndex(bundle.head(), bundle.indexText() + " "));
