--- a/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -12,6 +12,7 @@
 import org.corianderweir.daemon.peer.PeerTransport;
 import org.corianderweir.daemon.platform.HttpPlatformService;
 import org.corianderweir.daemon.settings.DaemonSettings;
+import org.corianderweir.daemon.steering.SteeringService;
 import org.corianderweir.daemon.traffic.TrafficService;
 import org.corianderweir.http.HttpClient;
 import org.corianderweir.http.HttpClientOptions;
@@ -44,10 +45,11 @@
     platformClient =
         new HttpClient(
             new HttpClientOptions(
-                "platform",
-                PLATFORM_CONNECT_TIMEOUT,
-                PLATFORM_IDLE_LIFETIME,
-                PLATFORM_ANSWER_LIMIT_BYTES));
+                    "platform",
+                    PLATFORM_CONNECT_TIMEOUT,
+                    PLATFORM_IDLE_LIFETIME,
+                    PLATFORM_ANSWER_LIMIT_BYTES)
+                .from(self.host()));
     HttpPlatformService platform =
         new HttpPlatformService(
             platformClient, settings.platform(), metrics.meter("platform.calls"));
@@ -59,8 +61,11 @@
         new MembershipService(
             self, incarnation, platform, control.loop(), events, configuration, transport, time);
     LimitService limits = new LimitService(configuration);
+    SteeringService steering =
+        new SteeringService(self.region(), configuration, control.loop(), events, time);
     TrafficService traffic =
-        new TrafficService(settings, configuration, membership, limits, events, metrics, time);
+        new TrafficService(
+            settings, configuration, membership, limits, steering, events, metrics, time);
     OperatorService operators =
         new OperatorService(
             settings, configuration, membership, events, metrics, stopRequested::countDown);
@@ -71,6 +76,7 @@
         .register(PeerTransport.NAME, transport)
         .register(MembershipService.NAME, membership)
         .register(LimitService.NAME, limits)
+        .register(SteeringService.NAME, steering)
         .register(OperatorService.NAME, operators)
         .register(TrafficService.NAME, traffic);
   }
