The daemon runs on the coordination state machine

Only relays and joining instances call the platform. Keyed requests are refused when nothing confirms the keys. GET /in-force, /configuration/history, /configuration/difference.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import org.corianderweir.daemon.control.ConfigurationService;
+import org.corianderweir.daemon.control.ConfigurationStore;
 import org.corianderweir.daemon.control.ControlService;
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.daemon.control.LimitService;
@@ -54,7 +55,8 @@
         new HttpPlatformService(
             platformClient, settings.platform(), metrics.meter("platform.calls"));
     ControlService control = new ControlService(events);
-    ConfigurationService configuration = new ConfigurationService(platform, control.loop(), events);
+    ConfigurationService configuration =
+        new ConfigurationService(new ConfigurationStore(platform), events, time);
     PeerTransport transport =
         new PeerTransport(self, incarnation, settings.peerSecret(), events, metrics, time);
     membership =
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/control/ConfigurationService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/control/ConfigurationService.java
@@ -1,25 +1,28 @@
 package org.corianderweir.daemon.control;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import org.corianderweir.kernel.ControlLoop;
 import org.corianderweir.kernel.Service;
 import org.corianderweir.kernel.ServiceDirectory;
 import org.corianderweir.kernel.ServiceName;
+import org.corianderweir.kernel.TimeSource;
+import org.corianderweir.logic.configuration.ConfigurationBundle;
 import org.corianderweir.logic.configuration.ConfigurationChange;
-import org.corianderweir.logic.configuration.ConfigurationEditor;
-import org.corianderweir.logic.platform.PlatformService;
+import org.corianderweir.logic.configuration.ConfigurationDifference;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
+import org.corianderweir.model.configuration.AcceptedChange;
 import org.corianderweir.model.configuration.Configuration;
-import org.corianderweir.model.platform.StoredValue;
-import org.corianderweir.model.platform.WriteResult;
+import org.corianderweir.model.configuration.ConfigurationHead;
+import org.corianderweir.model.configuration.ConfigurationIndex;
+import org.corianderweir.model.configuration.PastRevision;
 import org.corianderweir.model.timeline.EventCode;
-import org.corianderweir.protocol.Json;
+import org.corianderweir.protocol.ConfigurationDocuments;
 
 /** Keeps the configuration in force; it only ever moves to a higher revision. */
 public final class ConfigurationService implements Service {
@@ -27,25 +30,22 @@
   public static final ServiceName<ConfigurationService> NAME =
       new ServiceName<>("configuration", ConfigurationService.class);
 
-  /** The key of the platform's service that holds the configuration. */
-  public static final String STORE_KEY = "configuration";
-
-  private static final Duration READ_PERIOD = Duration.ofMillis(500);
-
-  private final PlatformService platform;
-  private final ControlLoop loop;
+  private final ConfigurationStore store;
+  private final ConfigurationWriter writer;
   private final EventLog events;
+  private final TimeSource time;
   private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
   private volatile Configuration inForce = Configuration.EMPTY;
-  private boolean platformLost;
-
-  private record Change(Configuration configuration, long version) {}
+  private volatile Optional<ConfigurationBundle> bundle = Optional.empty();
+  private volatile Consumer<ConfigurationBundle> acceptedListener = accepted -> {};
+  private volatile BooleanSupplier mayAcceptChanges = () -> true;
 
   /** Creates the service with an empty configuration. */
-  public ConfigurationService(PlatformService platform, ControlLoop loop, EventLog events) {
-    this.platform = platform;
-    this.loop = loop;
+  public ConfigurationService(ConfigurationStore store, EventLog events, TimeSource time) {
+    this.store = store;
     this.events = events;
+    this.time = time;
+    writer = new ConfigurationWriter(store, () -> bundle);
   }
 
   /** Returns the configuration in force; any thread may call this. */
@@ -53,105 +53,148 @@
     return inForce;
   }
 
+  /** Returns the configuration in force as it is stored and sent; any thread may call this. */
+  public Optional<ConfigurationBundle> bundle() {
+    return bundle;
+  }
+
   /** Registers a listener that is told of each new configuration on the control thread. */
   public void onChange(Consumer<Configuration> listener) {
     listeners.add(listener);
   }
 
+  /**
+   * Sets who guards and hears of the changes accepted through this instance.
+   *
+   * @param guard whether changes may be accepted now
+   * @param listener told of each accepted change on any thread
+   */
+  public void onAccepted(BooleanSupplier guard, Consumer<ConfigurationBundle> listener) {
+    mayAcceptChanges = guard;
+    acceptedListener = listener;
+  }
+
   /** Puts a configuration in force if its revision is higher; control thread only. */
-  public void offer(Configuration candidate) {
-    if (candidate.revision() <= inForce.revision()) {
+  public void putInForce(ConfigurationBundle newer, Configuration content) {
+    if (content.revision() <= inForce.revision()) {
       return;
     }
-    inForce = candidate;
+    bundle = Optional.of(newer);
+    inForce = content;
     events.record(
         EventCode.CONFIGURATION_IN_FORCE,
-        "revision-" + candidate.revision(),
-        "operation=" + candidate.operation());
-    listeners.forEach(listener -> listener.accept(candidate));
+        "revision-" + content.revision(),
+        "operation=" + content.operation());
+    listeners.forEach(listener -> listener.accept(content));
   }
 
   /**
-   * Makes a change through the platform's service.
+   * Makes a change through the platform's service and returns the revision that it made.
    *
-   * <p>The future fails with {@code REVISION_CONFLICT} if another change came first, and with
-   * {@code CONFIGURATION_INVALID} if the change is not allowed.
+   * <p>The future fails with {@code REVISION_CONFLICT} if another change came first, with {@code
+   * CONFIGURATION_INVALID} if the change breaks a rule, with {@code INSTANCE_ISOLATED} if this
+   * instance hears nobody of its zone, and with {@code OUTCOME_UNKNOWN} if the platform's answer
+   * got lost; the same operation can then be repeated.
    */
-  public CompletableFuture<Configuration> change(
+  public CompletableFuture<Long> change(
       long expectedRevision, ConfigurationChange change, String operation) {
-    return platform
-        .read(STORE_KEY)
-        .thenApply(stored -> prepare(stored, expectedRevision, change, operation))
-        .thenCompose(this::write)
+    if (!mayAcceptChanges.getAsBoolean()) {
+      return CompletableFuture.failedFuture(
+          new WeirException(
+              ErrorCode.INSTANCE_ISOLATED,
+              "this instance hears nobody of its availability zone; use another one"));
+    }
+    return writer
+        .change(
+            new ConfigurationWriter.Request(
+                expectedRevision, change, operation, time.wallMilliseconds()))
+        .whenComplete((accepted, failure) -> record(operation, accepted, failure))
         .thenApply(
             accepted -> {
-              loop.execute(() -> offer(accepted));
-              return accepted;
+              acceptedListener.accept(accepted.bundle());
+              return accepted.revision();
             });
   }
 
+  /** Returns the latest changes, the last one first. */
+  public List<AcceptedChange> history() {
+    return bundle
+        .map(ConfigurationBundle::index)
+        .map(
+            index ->
+                java.util.stream.Stream.concat(
+                        java.util.stream.Stream.of(index.change()),
+                        index.history().stream().map(PastRevision::change))
+                    .toList())
+        .orElse(List.of());
+  }
+
+  /** Returns what changed from one kept revision to another. */
+  public CompletableFuture<ConfigurationDifference> difference(long from, long to) {
+    return revision(from).thenCombine(revision(to), ConfigurationDifference::between);
+  }
+
+  /** Returns a kept revision; fails with {@code CONFIGURATION_INVALID} if it is not kept. */
+  public CompletableFuture<Configuration> revision(long revision) {
+    if (revision == 0) {
+      return CompletableFuture.completedFuture(Configuration.EMPTY);
+    }
+    if (revision == inForce.revision()) {
+      return CompletableFuture.completedFuture(inForce);
+    }
+    return head(revision)
+        .map(head -> store.load(head, hash -> Optional.empty()).thenApply(this::content))
+        .orElseGet(
+            () ->
+                CompletableFuture.failedFuture(
+                    new WeirException(
+                        ErrorCode.CONFIGURATION_INVALID, "revision " + revision + " is not kept")));
+  }
+
   @Override
   public List<ServiceName<?>> dependencies() {
     return List.of(EventLog.NAME, ControlService.NAME);
   }
 
   @Override
-  public void start(ServiceDirectory directory) {
-    loop.every(READ_PERIOD, this::refresh);
-  }
+  public void start(ServiceDirectory directory) {}
 
   @Override
   public void stop() {}
 
-  private static Change prepare(
-      Optional<StoredValue> stored,
-      long expectedRevision,
-      ConfigurationChange change,
-      String operation) {
-    Configuration current =
-        stored
-            .map(value -> Json.read(value.value(), Configuration.class))
-            .orElse(Configuration.EMPTY);
-    if (current.revision() != expectedRevision) {
-      throw new WeirException(
-          ErrorCode.REVISION_CONFLICT,
-          "the current revision is " + current.revision() + " by " + current.operation());
-    }
-    Configuration changed = ConfigurationEditor.apply(current, change, operation);
-    return new Change(changed, stored.map(StoredValue::version).orElse(0L));
+  private Configuration content(ConfigurationBundle loaded) {
+    return ConfigurationDocuments.assemble(
+        loaded.index(), hash -> Optional.ofNullable(loaded.texts().get(hash)));
   }
 
-  private CompletableFuture<Configuration> write(Change change) {
-    return platform
-        .compareAndSwap(STORE_KEY, change.version(), Json.write(change.configuration()))
-        .thenApply(
-            result ->
-                switch (result) {
-                  case WriteResult.Written written -> change.configuration();
-                  case WriteResult.Conflict conflict ->
-                      throw new WeirException(
-                          ErrorCode.REVISION_CONFLICT, "another change came first");
-                });
-  }
-
-  private void refresh() {
-    platform
-        .read(STORE_KEY)
-        .whenComplete((stored, failure) -> loop.execute(() -> refreshed(stored, failure)));
+  private Optional<ConfigurationHead> head(long revision) {
+    return bundle.map(ConfigurationBundle::index).map(ConfigurationIndex::history).stream()
+        .flatMap(List::stream)
+        .filter(past -> past.change().revision() == revision)
+        .map(past -> new ConfigurationHead(revision, past.change().operation(), past.indexHash()))
+        .findFirst();
   }
 
-  private void refreshed(
-      Optional<StoredValue> stored, @org.jspecify.annotations.Nullable Throwable failure) {
-    boolean lost = failure != null;
-    if (lost != platformLost) {
-      platformLost = lost;
+  private void record(
+      String operation,
+      ConfigurationWriter.@org.jspecify.annotations.Nullable Accepted accepted,
+      @org.jspecify.annotations.Nullable Throwable failure) {
+    if (accepted != null) {
       events.record(
-          lost ? EventCode.PLATFORM_LOST : EventCode.PLATFORM_FOUND,
-          "platform",
-          lost ? String.valueOf(failure) : "");
-    }
-    if (!lost) {
-      stored.ifPresent(value -> offer(Json.read(value.value(), Configuration.class)));
+          EventCode.CONFIGURATION_ACCEPTED,
+          "revision-" + accepted.revision(),
+          "operation=" + operation);
+      return;
     }
+    Throwable cause =
+        failure instanceof CompletionException && failure.getCause() != null
+            ? failure.getCause()
+            : failure;
+    boolean unknown =
+        cause instanceof WeirException typed && typed.code() == ErrorCode.OUTCOME_UNKNOWN;
+    events.record(
+        unknown ? EventCode.CONFIGURATION_UNKNOWN : EventCode.CONFIGURATION_REFUSED,
+        operation,
+        cause == null ? "" : String.valueOf(cause.getMessage()));
   }
 }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/control/MembershipService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/control/MembershipService.java
@@ -1,7 +1,12 @@
 package org.corianderweir.daemon.control;
 
-import java.time.Duration;
+import java.security.SecureRandom;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.corianderweir.coordination.Action;
+import org.corianderweir.coordination.FleetNode;
+import org.corianderweir.coordination.InForceReport;
 import org.corianderweir.daemon.peer.PeerTransport;
 import org.corianderweir.daemon.peer.Received;
 import org.corianderweir.kernel.ControlLoop;
@@ -9,37 +14,42 @@
 import org.corianderweir.kernel.ServiceDirectory;
 import org.corianderweir.kernel.ServiceName;
 import org.corianderweir.kernel.TimeSource;
+import org.corianderweir.logic.configuration.ConfigurationBundle;
+import org.corianderweir.logic.keys.Confirmation;
+import org.corianderweir.logic.keys.KeyFreshnessView;
 import org.corianderweir.logic.membership.Member;
-import org.corianderweir.logic.membership.MembershipTable;
 import org.corianderweir.logic.platform.PlatformService;
-import org.corianderweir.model.platform.ListedInstance;
+import org.corianderweir.model.configuration.Configuration;
+import org.corianderweir.model.configuration.ConfigurationHead;
 import org.corianderweir.model.timeline.EventCode;
 import org.corianderweir.model.topology.EntryInstance;
 import org.corianderweir.model.topology.InstanceState;
+import org.corianderweir.protocol.ConfigurationMessage;
 import org.corianderweir.protocol.MembershipMessage;
+import org.corianderweir.protocol.PeerMessage;
+import org.jspecify.annotations.Nullable;
 
-/** Sends heartbeats to the listed entry instances and tracks which ones are alive. */
+/** Drives the {@link FleetNode} of this instance and publishes what it knows. */
 public final class MembershipService implements Service {
   /** The name of this service. */
   public static final ServiceName<MembershipService> NAME =
       new ServiceName<>("membership", MembershipService.class);
 
-  private static final Duration HEARTBEAT_PERIOD = Duration.ofMillis(500);
-  private static final Duration SILENCE = Duration.ofSeconds(3);
-  private static final Duration LIST_PERIOD = Duration.ofSeconds(1);
-
   private final EntryInstance self;
   private final PlatformService platform;
+  private final ConfigurationStore store;
   private final ControlLoop loop;
   private final EventLog events;
   private final ConfigurationService configuration;
   private final PeerTransport transport;
   private final TimeSource time;
-  private final MembershipTable table = new MembershipTable(SILENCE);
-  private final long incarnation;
-  private List<ListedInstance> listed = List.of();
+  private final FleetNode node;
+  private boolean platformLost;
+  private boolean keysConfirmed;
   private volatile InstanceState state = InstanceState.JOINING;
   private volatile List<Member> members = List.of();
+  private volatile KeyFreshnessView freshness = KeyFreshnessView.UNCONFIRMED;
+  private volatile boolean mayAcceptChanges;
 
   /** Creates the service; this instance is joining. */
   public MembershipService(
@@ -58,10 +68,14 @@
     this.configuration = configuration;
     this.transport = transport;
     this.time = time;
-    this.incarnation = incarnation;
+    store = new ConfigurationStore(platform);
+    node = new FleetNode(self, incarnation, new SecureRandom(), time.monotonicNanoseconds());
   }
 
-  /** Returns the instances that are alive, this one too; any thread may call this. */
+  /**
+   * Returns the instances of the own availability zone that are alive, this one too, and some of
+   * each other zone; any thread may call this.
+   */
   public List<Member> members() {
     return members;
   }
@@ -71,13 +85,31 @@
     return state;
   }
 
+  /** Returns whether keys may be accepted; any thread may call this. */
+  public KeyFreshnessView keyFreshness() {
+    return freshness;
+  }
+
+  /** Returns in which availability zones a revision is in force; any thread may call this. */
+  public CompletableFuture<InForceReport> inForce(long revision) {
+    return CompletableFuture.supplyAsync(
+        () ->
+            InForceReport.of(
+                node,
+                configuration.inForce(),
+                revision,
+                time.monotonicNanoseconds(),
+                time.wallMilliseconds()),
+        loop);
+  }
+
   /** Begins to leave: heartbeats and look-ups say so at once. */
   public void leave() {
     loop.execute(
         () -> {
-          state = InstanceState.LEAVING;
+          node.leave();
           events.record(EventCode.INSTANCE_LEAVING, self.name(), "");
-          beat();
+          tick();
         });
   }
 
@@ -88,50 +120,118 @@
 
   @Override
   public void start(ServiceDirectory directory) {
-    transport.onMessage(MembershipMessage.class, received -> loop.execute(() -> receive(received)));
-    loop.every(LIST_PERIOD, this::refreshList);
-    loop.every(HEARTBEAT_PERIOD, this::beat);
+    transport.onMessage(MembershipMessage.class, this::receive);
+    transport.onMessage(ConfigurationMessage.class, this::receive);
+    configuration.onAccepted(
+        () -> mayAcceptChanges, bundle -> loop.execute(() -> perform(node.accepted(bundle))));
+    loop.every(FleetNode.PERIOD, this::tick);
   }
 
   @Override
   public void stop() {}
 
-  private void refreshList() {
-    platform.listInstances().thenAccept(instances -> loop.execute(() -> listed = instances));
+  private void receive(Received<? extends PeerMessage> received) {
+    loop.execute(
+        () -> {
+          if (received.message() instanceof MembershipMessage.Heartbeat heartbeat) {
+            events.clock().observe(heartbeat.timestamp());
+          }
+          perform(
+              node.received(
+                  received.sender(),
+                  received.message(),
+                  time.monotonicNanoseconds(),
+                  time.wallMilliseconds()));
+        });
+  }
+
+  private void tick() {
+    perform(node.tick(time.monotonicNanoseconds(), events.clock().tick(time.wallMilliseconds())));
   }
 
-  private void beat() {
-    if (state == InstanceState.JOINING && configuration.inForce().revision() > 0) {
-      state = InstanceState.SERVING;
+  private void perform(List<Action> actions) {
+    actions.forEach(this::perform);
+    publish();
+  }
+
+  private void perform(Action action) {
+    switch (action) {
+      case Action.Send send -> transport.send(send.target(), send.message());
+      case Action.ReadHead read -> readHead();
+      case Action.ReadList read ->
+          platform.listInstances().thenAccept(listed -> loop.execute(() -> node.listed(listed)));
+      case Action.Load load -> load(load.head());
+      case Action.PutInForce put -> configuration.putInForce(put.bundle(), put.configuration());
+      case Action.Record event -> events.record(event.code(), event.subject(), event.detail());
     }
-    long now = time.monotonicNanoseconds();
-    Member own = new Member(self, incarnation, state, configuration.inForce().revision());
-    table.heard(own, now);
-    for (Member silent : table.expire(now)) {
-      events.record(EventCode.PEER_SILENT, silent.instance().name(), "");
+  }
+
+  private void readHead() {
+    long asked = time.monotonicNanoseconds();
+    store
+        .readHead()
+        .whenComplete((head, failure) -> loop.execute(() -> headRead(head, failure, asked)));
+  }
+
+  private void headRead(
+      ConfigurationStore.@Nullable VersionedHead head, @Nullable Throwable failure, long asked) {
+    boolean lost = head == null;
+    if (lost != platformLost) {
+      platformLost = lost;
+      events.record(
+          lost ? EventCode.PLATFORM_LOST : EventCode.PLATFORM_FOUND,
+          "platform",
+          lost ? String.valueOf(failure) : "");
+    }
+    if (head == null) {
+      node.storeFailed(asked);
+      publish();
+    } else {
+      perform(node.storeAnswered(head.head(), asked, time.monotonicNanoseconds()));
     }
-    members = table.members();
-    MembershipMessage.Heartbeat heartbeat =
-        new MembershipMessage.Heartbeat(own, events.clock().tick(time.wallMilliseconds()));
-    for (ListedInstance other : listed) {
-      if (!other.instance().name().equals(self.name())) {
-        transport.send(other.instance(), heartbeat);
-      }
+  }
+
+  private void load(ConfigurationHead head) {
+    Optional<ConfigurationBundle> known = configuration.bundle();
+    store
+        .load(head, hash -> known.flatMap(bundle -> Optional.ofNullable(bundle.texts().get(hash))))
+        .whenComplete((bundle, failure) -> loop.execute(() -> loaded(head, bundle, failure)));
+  }
+
+  private void loaded(
+      ConfigurationHead head, @Nullable ConfigurationBundle bundle, @Nullable Throwable failure) {
+    if (bundle == null) {
+      node.loadFailed();
+      events.record(
+          EventCode.CONFIGURATION_UNREADABLE,
+          "revision-" + head.revision(),
+          String.valueOf(failure));
+    } else {
+      perform(node.loaded(bundle));
     }
   }
 
-  private void receive(Received<MembershipMessage> received) {
-    switch (received.message()) {
-      case MembershipMessage.Heartbeat heartbeat -> {
-        if (!heartbeat.sender().instance().name().equals(received.sender().name())) {
-          return;
-        }
-        events.clock().observe(heartbeat.timestamp());
-        if (table.heard(heartbeat.sender(), time.monotonicNanoseconds())) {
-          events.record(EventCode.PEER_ALIVE, heartbeat.sender().instance().name(), "");
-        }
-        members = table.members();
-      }
+  private void publish() {
+    long now = time.monotonicNanoseconds();
+    members = node.members();
+    mayAcceptChanges = node.mayAcceptChanges(now);
+    Configuration inForce = configuration.inForce();
+    Optional<Confirmation> usable = node.freshness().usable();
+    KeyFreshnessView view =
+        new KeyFreshnessView(
+            usable.isPresent(),
+            usable.map(Confirmation::momentNanoseconds).orElse(0L),
+            KeyFreshnessView.allowances(inForce));
+    freshness = view;
+    state = node.state();
+    recordFreshness(view.allows("", now));
+  }
+
+  private void recordFreshness(boolean confirmed) {
+    if (confirmed != keysConfirmed) {
+      keysConfirmed = confirmed;
+      events.record(
+          confirmed ? EventCode.KEYS_CONFIRMED : EventCode.KEYS_NOT_CONFIRMED, self.name(), "");
     }
   }
 }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorService.java
@@ -53,6 +53,7 @@
   private final EventLog events;
   private final MetricRegistry metrics;
   private final Runnable planStop;
+  private final ControlReports reports;
   private final SecureRandom random = new SecureRandom();
   private final HttpListener listener;
 
@@ -74,6 +75,7 @@
     this.events = events;
     this.metrics = metrics;
     this.planStop = planStop;
+    reports = new ControlReports(configuration, membership);
     listener =
         new HttpListener(
             new HttpListenerOptions(
@@ -132,6 +134,9 @@
       case "POST /undrain" ->
           change(call, new ConfigurationChange.SetDrained(call.parameter("server", ""), false));
       case "POST /stop" -> stopInstance();
+      case "GET /in-force" -> reports.inForce(call);
+      case "GET /configuration/history" -> reports.history();
+      case "GET /configuration/difference" -> reports.difference(call);
       default -> done(error(STATUS_NOT_FOUND, "not-found", "no such operation"));
     };
   }
@@ -165,23 +170,30 @@
     KeyHasher.IssuedKey issued =
         KeyHasher.issue(
             call.parameter("identifier", ""), call.parameter("organisation", ""), random);
-    return apply(call, new ConfigurationChange.AddKey(issued.stored()))
-        .thenApply(
-            accepted ->
-                json(new OperatorMessages.KeyIssued(accepted.revision(), issued.presented())));
+    String operation = generatedOperation();
+    return configuration
+        .change(expectedRevision(call), new ConfigurationChange.AddKey(issued.stored()), operation)
+        .thenApply(revision -> json(new OperatorMessages.KeyIssued(revision, issued.presented())));
   }
 
   private CompletableFuture<HttpReply> change(HttpCall call, ConfigurationChange change) {
-    return apply(call, change)
-        .thenApply(accepted -> json(new OperatorMessages.Accepted(accepted.revision())));
+    return apply(call, change).thenApply(revision -> json(new OperatorMessages.Accepted(revision)));
   }
 
-  private CompletableFuture<Configuration> apply(HttpCall call, ConfigurationChange change) {
+  /**
+   * An operator that names the operation can repeat it without making the change twice. Not so for
+   * keys that are issued, because each has a new secret.
+   */
+  private CompletableFuture<Long> apply(HttpCall call, ConfigurationChange change) {
     long expected = expectedRevision(call);
-    String operation = settings.instance().name() + "/" + UUID.randomUUID();
+    String operation = call.parameter("operation", generatedOperation());
     return configuration.change(expected, change, operation);
   }
 
+  private String generatedOperation() {
+    return settings.instance().name() + "/" + UUID.randomUUID();
+  }
+
   private long expectedRevision(HttpCall call) {
     String text = call.parameter("expected-revision", "");
     if (text.isEmpty()) {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestPipeline.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestPipeline.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.daemon.control.LimitService;
 import org.corianderweir.http.HopByHop;
@@ -18,6 +19,7 @@
 import org.corianderweir.http.HttpReply;
 import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.keys.KeyDecision;
+import org.corianderweir.logic.keys.KeyFreshnessView;
 import org.corianderweir.logic.limits.AdmissionDecision;
 import org.corianderweir.logic.steering.RouteDecision;
 import org.corianderweir.logic.steering.ServerChooser;
@@ -38,6 +40,7 @@
   private final String instanceName;
   private final HttpClient client;
   private final LimitService limits;
+  private final Supplier<KeyFreshnessView> keyFreshness;
   private final EventLog events;
   private final MetricRegistry metrics;
   private final TimeSource time;
@@ -47,12 +50,14 @@
       String instanceName,
       HttpClient client,
       LimitService limits,
+      Supplier<KeyFreshnessView> keyFreshness,
       EventLog events,
       MetricRegistry metrics,
       TimeSource time) {
     this.instanceName = instanceName;
     this.client = client;
     this.limits = limits;
+    this.keyFreshness = keyFreshness;
     this.events = events;
     this.metrics = metrics;
     this.time = time;
@@ -119,6 +124,9 @@
       return refuse(
           context.identifier(), RefusalReason.ROUTE_FORBIDDEN, "not for this organisation");
     }
+    if (!keyFreshness.get().allows(organisation, time.monotonicNanoseconds())) {
+      return refuse(context.identifier(), RefusalReason.KEYS_STALE, "the keys can't be confirmed");
+    }
     return limits
         .admit(organisation, time.monotonicNanoseconds())
         .thenCompose(
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
@@ -82,7 +82,9 @@
         new HttpClient(
             new HttpClientOptions("backend", CONNECT_TIMEOUT, IDLE_LIFETIME, ANSWER_LIMIT_BYTES)
                 .from(self.host()));
-    pipeline = new RequestPipeline(self.name(), client, limits, events, metrics, time);
+    pipeline =
+        new RequestPipeline(
+            self.name(), client, limits, membership::keyFreshness, events, metrics, time);
     listener =
         new HttpListener(
             new HttpListenerOptions(
--- a/weirlib/src/main/java/org/corianderweir/coordination/Action.java
+++ b/weirlib/src/main/java/org/corianderweir/coordination/Action.java
@@ -1,6 +1,7 @@
 package org.corianderweir.coordination;
 
 import org.corianderweir.logic.configuration.ConfigurationBundle;
+import org.corianderweir.model.configuration.Configuration;
 import org.corianderweir.model.configuration.ConfigurationHead;
 import org.corianderweir.model.timeline.EventCode;
 import org.corianderweir.model.topology.EntryInstance;
@@ -16,6 +17,9 @@
    */
   record Send(EntryInstance target, PeerMessage message) implements Action {}
 
+  /** Read the list of entry instances from the platform's service. */
+  record ReadList() implements Action {}
+
   /** Read the head of the configuration from the platform's service. */
   record ReadHead() implements Action {}
 
@@ -29,9 +33,10 @@
   /**
    * Put a configuration in force.
    *
-   * @param bundle the configuration
+   * @param bundle the configuration as it is stored and sent
+   * @param configuration its content
    */
-  record PutInForce(ConfigurationBundle bundle) implements Action {}
+  record PutInForce(ConfigurationBundle bundle, Configuration configuration) implements Action {}
 
   /**
    * Record an event.
--- a/weirlib/src/main/java/org/corianderweir/coordination/FleetNode.java
+++ b/weirlib/src/main/java/org/corianderweir/coordination/FleetNode.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.corianderweir.logic.configuration.ConfigurationBundle;
 import org.corianderweir.logic.handshake.PeerIdentity;
 import org.corianderweir.logic.keys.Confirmation;
@@ -17,12 +18,16 @@
 import org.corianderweir.logic.membership.Member;
 import org.corianderweir.logic.membership.Relays;
 import org.corianderweir.logic.membership.ZoneSample;
+import org.corianderweir.model.WeirException;
+import org.corianderweir.model.configuration.AvailabilityZone;
+import org.corianderweir.model.configuration.Configuration;
 import org.corianderweir.model.configuration.ConfigurationHead;
 import org.corianderweir.model.platform.ListedInstance;
 import org.corianderweir.model.timeline.EventCode;
 import org.corianderweir.model.timeline.HybridTimestamp;
 import org.corianderweir.model.topology.EntryInstance;
 import org.corianderweir.model.topology.InstanceState;
+import org.corianderweir.protocol.ConfigurationDocuments;
 import org.corianderweir.protocol.ConfigurationMessage;
 import org.corianderweir.protocol.MembershipMessage;
 import org.corianderweir.protocol.MembershipMessage.AgedRevision;
@@ -39,6 +44,8 @@
   private static final Duration PAUSE_LIMIT = Duration.ofMillis(2_500);
   private static final Duration JOIN_LIMIT = Duration.ofSeconds(3);
 
+  private static final int LIST_PERIOD_TICKS = 5;
+
   private final EntryInstance self;
   private final long incarnation;
   private final Outbox outbox;
@@ -53,6 +60,7 @@
   private boolean heardPeer;
   private boolean storeFailed;
   private long loadingRevision;
+  private long ticks;
 
   /** Creates a node that has just started. */
   public FleetNode(
@@ -134,9 +142,14 @@
     if (isRelay()) {
       otherZones.ask(ownSample(timestamp.wallMilliseconds()), nowNanoseconds).forEach(outbox::add);
     }
-    if (isRelay() || state == InstanceState.JOINING) {
+    boolean joining = state == InstanceState.JOINING;
+    if (isRelay() || joining) {
       outbox.add(new Action.ReadHead());
     }
+    ticks++;
+    if (joining || (isRelay() && ticks % LIST_PERIOD_TICKS == 0)) {
+      outbox.add(new Action.ReadList());
+    }
     freshness.concludeIfNobodyHasContact(zones(), nowNanoseconds);
     return outbox.drain();
   }
@@ -200,11 +213,6 @@
     return outbox.drain();
   }
 
-  /** Takes note of the zones of the configuration that was put in force. */
-  public void configuredZones(Collection<String> zones) {
-    configuredZones = Set.copyOf(zones);
-  }
-
   /** Returns all other zones and the own one, as far as known. */
   public Set<String> zones() {
     Set<String> zones = new TreeSet<>(configuredZones);
@@ -342,10 +350,24 @@
   }
 
   private void putInForce(ConfigurationBundle candidate) {
-    if (exchange.adopt(candidate)) {
+    if (candidate.head().revision() <= revision()) {
+      return;
+    }
+    try {
+      Configuration content =
+          ConfigurationDocuments.assemble(
+              candidate.index(), hash -> Optional.ofNullable(candidate.texts().get(hash)));
+      exchange.adopt(candidate);
       freshness.adopted(candidate.head().revision());
-      outbox.add(new Action.PutInForce(candidate));
+      configuredZones =
+          content.zones().stream().map(AvailabilityZone::name).collect(Collectors.toSet());
+      outbox.add(new Action.PutInForce(candidate, content));
       exchange.notifySome(peersOfZone());
+    } catch (WeirException unreadable) {
+      outbox.event(
+          EventCode.CONFIGURATION_UNREADABLE,
+          "revision-" + candidate.head().revision(),
+          String.valueOf(unreadable.getMessage()));
     }
   }
 
--- a/weirlib/src/main/java/org/corianderweir/model/ErrorCode.java
+++ b/weirlib/src/main/java/org/corianderweir/model/ErrorCode.java
@@ -8,6 +8,10 @@
   CONFIGURATION_INVALID,
   /** A change was based on a revision that is no longer current. */
   REVISION_CONFLICT,
+  /** It is not known whether a change was accepted; repeating the same operation is harmless. */
+  OUTCOME_UNKNOWN,
+  /** The instance hears nobody of its availability zone and may not accept changes. */
+  INSTANCE_ISOLATED,
   /** A service was asked for by a name that nobody registered, or with another type. */
   SERVICE_UNKNOWN,
   /** Services depend on each other in a circle. */
--- a/weirlib/src/main/java/org/corianderweir/protocol/OperatorMessages.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/OperatorMessages.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.corianderweir.logic.membership.Member;
+import org.corianderweir.model.configuration.AcceptedChange;
 import org.corianderweir.model.timeline.TimelineEvent;
 import org.corianderweir.model.topology.InstanceState;
 
@@ -49,6 +50,13 @@
    */
   public record Meters(List<MeterValue> meters) {}
 
+  /**
+   * The latest changes of the configuration.
+   *
+   * @param changes the changes, the last one first
+   */
+  public record History(List<AcceptedChange> changes) {}
+
   /**
    * A change was accepted.
    *
