--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/CallerHeaders.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/CallerHeaders.java
@@ -1,6 +1,6 @@
 package org.corianderweir.daemon.traffic;
 
-import java.util.Set;
+import java.util.Locale;
 
 /** The header fields that callers and entry instances exchange. */
 public final class CallerHeaders {
@@ -28,9 +28,17 @@
   /** The name of the backend server that answered. */
   public static final String BACKEND_SERVER = "Weir-Backend-Server";
 
-  /** Fields of callers that no backend server may see as sent, in lower case. */
-  static final Set<String> NOT_HANDED_ON =
-      Set.of("weir-key", "weir-organisation", "weir-request", "weir-deadline-milliseconds");
+  /** The entry instance that handed a request to the issuer of its identifier. */
+  static final String FORWARDED_BY = "Weir-Forwarded-By";
+
+  private static final String PREFIX = "weir-";
 
   private CallerHeaders() {}
+
+  /**
+   * Returns whether a field is this system's own; those of callers and servers aren't handed on.
+   */
+  static boolean isOwn(String fieldName) {
+    return fieldName.toLowerCase(Locale.ROOT).startsWith(PREFIX);
+  }
 }
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/IssuerForwarder.java
@@ -0,0 +1,85 @@
+package org.corianderweir.daemon.traffic;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.corianderweir.http.HopByHop;
+import org.corianderweir.http.HttpAddress;
+import org.corianderweir.http.HttpCall;
+import org.corianderweir.http.HttpClient;
+import org.corianderweir.http.HttpHeaders;
+import org.corianderweir.http.HttpReply;
+import org.corianderweir.kernel.TimeSource;
+import org.corianderweir.logic.delivery.RequestIdentifier;
+import org.corianderweir.logic.membership.Member;
+import org.corianderweir.model.request.RefusalReason;
+import org.corianderweir.model.topology.EntryInstance;
+
+/**
+ * Hands a request to the entry instance that issued its identifier. Whatever goes wrong, the
+ * outcome is unknown: the issuer may have let an earlier request with the identifier run.
+ */
+final class IssuerForwarder {
+  private final String instanceName;
+  private final HttpClient client;
+  private final Supplier<List<Member>> members;
+  private final Refusals refusals;
+  private final TimeSource time;
+
+  IssuerForwarder(
+      String instanceName,
+      HttpClient client,
+      Supplier<List<Member>> members,
+      Refusals refusals,
+      TimeSource time) {
+    this.instanceName = instanceName;
+    this.client = client;
+    this.members = members;
+    this.refusals = refusals;
+    this.time = time;
+  }
+
+  /** Forwards a request; one that was forwarded before is not forwarded again. */
+  CompletableFuture<HttpReply> forward(RequestContext context, RequestIdentifier identifier) {
+    boolean forwardedBefore =
+        context.call().headers().first(CallerHeaders.FORWARDED_BY).isPresent();
+    Optional<EntryInstance> issuer =
+        members.get().stream()
+            .map(Member::instance)
+            .filter(instance -> instance.name().equals(identifier.instance()))
+            .findFirst();
+    if (forwardedBefore || issuer.isEmpty() || identifier.instance().equals(instanceName)) {
+      return CompletableFuture.completedFuture(unknown(context, "the issuer is gone"));
+    }
+    Duration remaining =
+        Duration.ofNanos(context.deadlineNanoseconds() - time.monotonicNanoseconds());
+    if (!remaining.isPositive()) {
+      return CompletableFuture.completedFuture(unknown(context, "the deadline has passed"));
+    }
+    HttpAddress address = new HttpAddress(issuer.get().host(), issuer.get().callerPort());
+    return client
+        .exchange(address, forwarded(context, remaining), remaining)
+        .handle(
+            (answer, failure) ->
+                failure == null
+                    ? new HttpReply(
+                        answer.status(), HopByHop.strip(answer.headers()), answer.body())
+                    : unknown(context, "no answer from the issuer " + identifier.instance()));
+  }
+
+  private HttpCall forwarded(RequestContext context, Duration remaining) {
+    HttpCall call = context.call();
+    HttpHeaders headers =
+        HopByHop.strip(call.headers())
+            .without(java.util.Set.of("weir-deadline-milliseconds"))
+            .with(CallerHeaders.DEADLINE_MILLISECONDS, Long.toString(remaining.toMillis()))
+            .with(CallerHeaders.FORWARDED_BY, instanceName);
+    return new HttpCall(call.method(), call.target(), headers, call.body());
+  }
+
+  private HttpReply unknown(RequestContext context, String message) {
+    return refusals.refuse(context.name(), RefusalReason.OUTCOME_UNKNOWN, message);
+  }
+}
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RateAdmission.java
@@ -0,0 +1,10 @@
+package org.corianderweir.daemon.traffic;
+
+import java.util.concurrent.CompletableFuture;
+import org.corianderweir.logic.limits.AdmissionDecision;
+
+/** Says whether a request is inside its organisation's rate and burst. */
+interface RateAdmission {
+  /** Decides on one request; the decision may have to wait for an allowance. */
+  CompletableFuture<AdmissionDecision> admit(String organisation, long nowNanoseconds);
+}
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Refusals.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Refusals.java
@@ -1,21 +1,50 @@
 package org.corianderweir.daemon.traffic;
 
+import com.codahale.metrics.MetricRegistry;
+import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.http.HttpReply;
+import org.corianderweir.model.request.Execution;
 import org.corianderweir.model.request.Refusal;
 import org.corianderweir.model.request.RefusalReason;
+import org.corianderweir.model.timeline.EventCode;
 import org.corianderweir.protocol.Json;
 
-/** Writes refusals as HTTP answers. */
+/** Writes refusals as HTTP answers, counts them and records them on the time line. */
 final class Refusals {
   private static final String RETRY_AFTER_SECONDS = "1";
 
-  private Refusals() {}
+  private final String instanceName;
+  private final EventLog events;
+  private final MetricRegistry metrics;
 
-  static HttpReply reply(RefusalReason reason, String message, String instanceName) {
+  Refusals(String instanceName, EventLog events, MetricRegistry metrics) {
+    this.instanceName = instanceName;
+    this.events = events;
+    this.metrics = metrics;
+  }
+
+  /** Refuses with the execution that the reason implies. */
+  HttpReply refuse(String requestName, RefusalReason reason, String message) {
+    return refuse(requestName, reason, reason.execution(), message);
+  }
+
+  /** Refuses; the execution may be less certain than the reason implies. */
+  HttpReply refuse(String requestName, RefusalReason reason, Execution execution, String message) {
+    metrics.meter("refusals." + reason.code()).mark();
+    EventCode code =
+        switch (execution) {
+          case NOT_RUN -> EventCode.REQUEST_REFUSED;
+          case UNKNOWN -> EventCode.REQUEST_UNKNOWN;
+        };
+    events.record(code, requestName, reason.code() + ": " + message);
+    return reply(reason, execution, message);
+  }
+
+  private HttpReply reply(RefusalReason reason, Execution execution, String message) {
     HttpReply reply =
-        HttpReply.json(reason.status(), Json.write(Refusal.of(reason, message)))
+        HttpReply.json(reason.status(), Json.write(Refusal.of(reason, execution, message)))
             .with(CallerHeaders.REFUSAL, reason.code())
-            .with(CallerHeaders.EXECUTION, reason.execution().text())
+            .with(CallerHeaders.EXECUTION, execution.text())
             .with(CallerHeaders.ENTRY_INSTANCE, instanceName);
     boolean worthRepeating =
         switch (reason) {
@@ -24,4 +53,13 @@
         };
     return worthRepeating ? reply.with("Retry-After", RETRY_AFTER_SECONDS) : reply;
   }
+
+  /** Returns whether an answer says that the request certainly did not run. */
+  static boolean isNotRun(HttpReply reply) {
+    return reply
+        .headers()
+        .first(CallerHeaders.EXECUTION)
+        .filter(Execution.NOT_RUN.text()::equals)
+        .isPresent();
+  }
 }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
@@ -18,6 +18,7 @@
 import org.corianderweir.kernel.ServiceDirectory;
 import org.corianderweir.kernel.ServiceName;
 import org.corianderweir.kernel.TimeSource;
+import org.corianderweir.logic.delivery.RequestIdentifier;
 import org.corianderweir.logic.lookup.EntrySelector;
 import org.corianderweir.model.configuration.Configuration;
 import org.corianderweir.model.request.LookupAnswer;
@@ -51,6 +52,9 @@
   private final TimeSource time;
   private final HttpClient client;
   private final HttpListener listener;
+  private final Refusals refusals;
+  private final Delivery delivery;
+  private final RunOnceGate gate;
   private final RequestPipeline pipeline;
   private volatile TrafficSnapshot snapshot = TrafficSnapshot.of(Configuration.EMPTY);
 
@@ -70,7 +74,16 @@
     client =
         new HttpClient(
             new HttpClientOptions("backend", CONNECT_TIMEOUT, IDLE_LIFETIME, ANSWER_LIMIT_BYTES));
-    pipeline = new RequestPipeline(self.name(), client, limits, events, metrics, time);
+    refusals = new Refusals(self.name(), events, metrics);
+    delivery = new Delivery(self.name(), client, refusals, events, metrics, time);
+    gate =
+        new RunOnceGate(
+            self.name(),
+            new IssuerForwarder(self.name(), client, membership::members, refusals, time),
+            refusals,
+            time);
+    pipeline =
+        new RequestPipeline(self.name(), limits::admit, gate, delivery, refusals, metrics, time);
     listener =
         new HttpListener(
             new HttpListenerOptions(
@@ -96,7 +109,7 @@
     long lookupsExpired = time.monotonicNanoseconds() + LOOKUP_LIFETIME.toNanos();
     long limit = time.monotonicNanoseconds() + STOP_LIMIT.toNanos();
     while (time.monotonicNanoseconds() < lookupsExpired
-        || (pipeline.requestsInFlight() > 0 && time.monotonicNanoseconds() < limit)) {
+        || (delivery.requestsInFlight() > 0 && time.monotonicNanoseconds() < limit)) {
       sleep();
     }
     listener.stop(STOP_POLL_PERIOD.toMillis());
@@ -113,15 +126,26 @@
 
   private CompletableFuture<HttpReply> answer(HttpCall call) {
     if (membership.state() == InstanceState.JOINING) {
-      return CompletableFuture.completedFuture(
-          Refusals.reply(RefusalReason.NOT_SERVING, "no configuration yet", self.name()));
+      return CompletableFuture.completedFuture(notServing(call));
     }
     if (call.path().equals(LOOKUP_PATH)) {
       return CompletableFuture.completedFuture(lookup(call));
     }
+    if (call.path().equals(RunOnceGate.ISSUE_PATH)) {
+      return CompletableFuture.completedFuture(gate.issue(call));
+    }
     return pipeline.answer(call, snapshot);
   }
 
+  private HttpReply notServing(HttpCall call) {
+    String name = call.headers().first(CallerHeaders.REQUEST).orElse("");
+    return refusals.refuse(
+        name,
+        RefusalReason.NOT_SERVING,
+        gate.executionSoFar(RequestIdentifier.parse(name)),
+        "no configuration yet");
+  }
+
   private HttpReply lookup(HttpCall call) {
     String zone = call.parameter("availability-zone", self.availabilityZone());
     String region =
--- /dev/null
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/traffic/TestEntry.java
@@ -0,0 +1,122 @@
+package org.corianderweir.daemon.traffic;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.corianderweir.daemon.SystemTimeSource;
+import org.corianderweir.daemon.control.EventLog;
+import org.corianderweir.http.HttpAddress;
+import org.corianderweir.http.HttpCall;
+import org.corianderweir.http.HttpClient;
+import org.corianderweir.http.HttpClientOptions;
+import org.corianderweir.http.HttpHeaders;
+import org.corianderweir.http.HttpListener;
+import org.corianderweir.http.HttpListenerOptions;
+import org.corianderweir.http.HttpReply;
+import org.corianderweir.logic.limits.AdmissionDecision;
+import org.corianderweir.logic.membership.Member;
+import org.corianderweir.model.configuration.BackendServer;
+import org.corianderweir.model.configuration.Configuration;
+import org.corianderweir.model.configuration.Selector;
+import org.corianderweir.model.topology.EntryInstance;
+import org.corianderweir.model.topology.InstanceState;
+
+/** The traffic part of an entry instance on a real socket, without its control part. */
+final class TestEntry implements AutoCloseable {
+  private static final Duration LONG = Duration.ofSeconds(20);
+  private static final int LIMIT_BYTES = 1024 * 1024;
+  private static final HttpClient CALLER = new HttpClient(options());
+
+  static {
+    CALLER.start();
+  }
+
+  final List<Member> members;
+  volatile boolean admits = true;
+  private final String name;
+  private final HttpClient client = new HttpClient(options());
+  private final HttpListener listener;
+  private final RequestPipeline pipeline;
+  private final RunOnceGate gate;
+  private final TrafficSnapshot snapshot;
+
+  TestEntry(String name, List<Member> members, List<BackendServer> servers) {
+    this.name = name;
+    this.members = members;
+    SystemTimeSource time = new SystemTimeSource();
+    EventLog events = new EventLog(name, time);
+    MetricRegistry metrics = new MetricRegistry();
+    Refusals refusals = new Refusals(name, events, metrics);
+    IssuerForwarder forwarder =
+        new IssuerForwarder(name, client, () -> this.members, refusals, time);
+    gate = new RunOnceGate(name, forwarder, refusals, time);
+    Delivery delivery = new Delivery(name, client, refusals, events, metrics, time);
+    pipeline = new RequestPipeline(name, this::admit, gate, delivery, refusals, metrics, time);
+    snapshot =
+        TrafficSnapshot.of(
+            Configuration.builder()
+                .backendServers(servers)
+                .selectors(List.of(new Selector("all", "/", "shop", true, List.of())))
+                .build());
+    listener =
+        new HttpListener(
+            new HttpListenerOptions(name, "127.0.0.1", 0, LIMIT_BYTES, 4), this::answer);
+    client.start();
+    listener.start();
+    EntryInstance self =
+        new EntryInstance(name, "region", "zone", "127.0.0.1", listener.port(), 1, 1);
+    members.add(new Member(self, 1, InstanceState.SERVING, 1));
+  }
+
+  static List<Member> noMembers() {
+    return new CopyOnWriteArrayList<>();
+  }
+
+  HttpReply call(String method, String target, HttpHeaders headers) {
+    return start(method, target, headers).join();
+  }
+
+  CompletableFuture<HttpReply> start(String method, String target, HttpHeaders headers) {
+    return CALLER.exchange(
+        new HttpAddress("127.0.0.1", listener.port()),
+        new HttpCall(method, target, headers, new byte[0]),
+        LONG);
+  }
+
+  String identifier() {
+    String text = call("GET", RunOnceGate.ISSUE_PATH, HttpHeaders.NONE).bodyText();
+    return text.substring(text.indexOf("weir1"), text.indexOf("\"]"));
+  }
+
+  /** Returns what a caller is told: the refusal and execution, or the status. */
+  static String told(HttpReply reply) {
+    return reply
+        .headers()
+        .first(CallerHeaders.REFUSAL)
+        .map(code -> code + " " + reply.headers().first(CallerHeaders.EXECUTION).orElse(""))
+        .orElse(Integer.toString(reply.status()));
+  }
+
+  @Override
+  public void close() {
+    listener.stop(0);
+    client.stop();
+  }
+
+  private CompletableFuture<HttpReply> answer(HttpCall call) {
+    return call.path().equals(RunOnceGate.ISSUE_PATH)
+        ? CompletableFuture.completedFuture(gate.issue(call))
+        : pipeline.answer(call, snapshot);
+  }
+
+  private CompletableFuture<AdmissionDecision> admit(String organisation, long now) {
+    return CompletableFuture.completedFuture(
+        admits ? new AdmissionDecision.Admitted() : new AdmissionDecision.Refused(1));
+  }
+
+  private static HttpClientOptions options() {
+    return new HttpClientOptions("test-entry", LONG, LONG, LIMIT_BYTES, 32);
+  }
+}
--- a/weirhttp/src/main/java/org/corianderweir/http/EndpointHandler.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/EndpointHandler.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.Closeable;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.ICloseType;
 import org.glassfish.grizzly.ReadHandler;
 import org.glassfish.grizzly.http.io.NIOInputStream;
@@ -52,15 +53,33 @@
     } catch (RuntimeException failure) {
       reply = CompletableFuture.failedFuture(failure);
     }
+    if (reply.isDone()) {
+      write(response, replyOrFailure(reply));
+      return;
+    }
+    Connection<?> connection = request.getContext().getConnection();
     CancelOnClose cancel = new CancelOnClose(reply);
-    request.getContext().getConnection().addCloseListener(cancel);
+    connection.addCloseListener(cancel);
+    CallerWatchFilter.begin(connection);
     reply.whenComplete(
         (answer, failure) -> {
-          request.getContext().getConnection().removeCloseListener(cancel);
+          connection.removeCloseListener(cancel);
+          if (!CallerWatchFilter.beginWrite(connection)) {
+            closeAfter(response);
+          }
           write(response, failure == null ? answer : failed());
         });
   }
 
+  private static HttpReply replyOrFailure(CompletableFuture<HttpReply> reply) {
+    return reply.handle((answer, failure) -> failure == null ? answer : failed()).join();
+  }
+
+  private static void closeAfter(Response response) {
+    response.getRequest().getRequest().getProcessingState().setKeepAlive(false);
+    response.setHeader("Connection", "close");
+  }
+
   private static HttpCall call(Request request, byte[] body) {
     List<HttpHeader> fields = new ArrayList<>();
     for (String name : request.getHeaderNames()) {
@@ -82,7 +101,7 @@
     String text =
         "{\"code\":\"body-too-large\",\"execution\":\"not-run\","
             + "\"message\":\"the body is above the limit\"}";
-    response.setHeader("Connection", "close");
+    closeAfter(response);
     write(
         response,
         HttpReply.json(STATUS_TOO_LARGE, text)
@@ -105,6 +124,7 @@
     } catch (IOException | RuntimeException callerGone) {
       response.getRequest().getContext().getConnection().closeSilently();
     } finally {
+      CallerWatchFilter.end(response.getRequest().getContext().getConnection());
       if (response.isSuspended()) {
         response.resume();
       }
--- a/weirhttp/src/main/java/org/corianderweir/http/ExchangeFilter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ExchangeFilter.java
@@ -4,6 +4,8 @@
 import java.io.EOFException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
 import org.corianderweir.model.ErrorCode;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -24,14 +26,21 @@
   private static final int FIRST_FINAL_STATUS = 200;
 
   private final int answerLimitBytes;
+  private final BiConsumer<HttpAddress, Connection<?>> release;
 
-  private record Pending(HttpClient.Exchange exchange, ByteArrayOutputStream body) {}
+  private record Pending(HttpExchange exchange, ByteArrayOutputStream body) {}
 
-  ExchangeFilter(int answerLimitBytes) {
+  /**
+   * Creates the filter.
+   *
+   * @param release takes back a connection that can be used again
+   */
+  ExchangeFilter(int answerLimitBytes, BiConsumer<HttpAddress, Connection<?>> release) {
     this.answerLimitBytes = answerLimitBytes;
+    this.release = release;
   }
 
-  static void begin(Connection<?> connection, HttpClient.Exchange exchange) {
+  static void begin(Connection<?> connection, HttpExchange exchange) {
     PENDING.set(connection, new Pending(exchange, new ByteArrayOutputStream()));
   }
 
@@ -60,12 +69,38 @@
       abandon(connection, pending, "the answer is above the limit");
     } else if (content.isLast()) {
       PENDING.remove(connection);
-      boolean reusable = head.getProcessingState().isKeepAlive();
-      pending.exchange().complete(reply(head, pending.body().toByteArray()), reusable);
+      finish(context, pending, head);
     }
     return context.getStopAction();
   }
 
+  /**
+   * Completes the exchange. The connection is given back only when all bytes that were read with
+   * the answer have been looked at: bytes beyond it close the connection before it is used again.
+   */
+  private void finish(FilterChainContext context, Pending pending, HttpResponsePacket head) {
+    Connection<?> connection = context.getConnection();
+    HttpReply reply = reply(head, pending.body().toByteArray());
+    Optional<String> named = reply.headers().first(HttpClient.REQUEST_IDENTIFIER_HEADER);
+    if (named.isPresent() && !named.equals(pending.exchange().requestIdentifier())) {
+      abandon(connection, pending, "the answer belongs to another request");
+      return;
+    }
+    boolean reusable = head.getProcessingState().isKeepAlive();
+    HttpAddress address = pending.exchange().address();
+    context.addCompletionListener(
+        unused -> {
+          if (reusable && connection.isOpen()) {
+            release.accept(address, connection);
+          } else {
+            connection.closeSilently();
+          }
+        });
+    if (!pending.exchange().complete(reply)) {
+      connection.closeSilently();
+    }
+  }
+
   @Override
   public NextAction handleClose(FilterChainContext context) {
     Pending pending = PENDING.remove(context.getConnection());
@@ -93,7 +128,7 @@
     pending.exchange().fail(ErrorCode.ANSWER_LOST, reason, new EOFException(reason));
   }
 
-  private static boolean isDelimited(HttpResponsePacket head, HttpClient.Exchange exchange) {
+  private static boolean isDelimited(HttpResponsePacket head, HttpExchange exchange) {
     return head.isChunked()
         || head.getContentLength() >= 0
         || head.getStatus() == STATUS_NO_CONTENT
--- /dev/null
+++ b/weirhttp/src/main/java/org/corianderweir/http/FramingCheck.java
@@ -0,0 +1,97 @@
+package org.corianderweir.http;
+
+import java.util.Locale;
+import java.util.Optional;
+import org.glassfish.grizzly.http.util.MimeHeaders;
+
+/**
+ * Refuses messages whose end two parsers could see at different places (RFC 9112, sections 6.1, 6.3
+ * and 11.2), so that no request can hide in another one.
+ */
+final class FramingCheck {
+  private static final int LENGTH_LIMIT_DIGITS = 18;
+  private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
+
+  private FramingCheck() {}
+
+  /**
+   * Returns whether the field whose name was read last makes the end of the message ambiguous.
+   * Asked for each name, because the codec forgets a length when it reads an encoding.
+   */
+  static boolean isAmbiguous(MimeHeaders headers) {
+    int last = headers.size() - 1;
+    if (last < 0 || !isFraming(headers.getName(last).toString())) {
+      return false;
+    }
+    for (int index = 0; index < last; index++) {
+      if (isFraming(headers.getName(index).toString())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean isFraming(String name) {
+    return name.equalsIgnoreCase("content-length") || name.equalsIgnoreCase("transfer-encoding");
+  }
+
+  /** Returns whether a method consists of the characters that methods may have. */
+  static boolean isMethod(String method) {
+    return isToken(method);
+  }
+
+  /** Returns what is wrong with the header fields of a message, if anything is. */
+  static Optional<String> fault(MimeHeaders headers) {
+    int lengths = 0;
+    int encodings = 0;
+    int hosts = 0;
+    for (int index = 0; index < headers.size(); index++) {
+      String name = headers.getName(index).toString();
+      String value = headers.getValue(index).toString();
+      if (!isToken(name) || hasControl(value)) {
+        return Optional.of("a header field has characters that are not allowed");
+      }
+      switch (name.toLowerCase(Locale.ROOT)) {
+        case "content-length" -> {
+          lengths++;
+          if (!isLength(value)) {
+            return Optional.of("the content length is not a number");
+          }
+        }
+        case "transfer-encoding" -> {
+          encodings++;
+          if (!value.trim().equalsIgnoreCase("chunked")) {
+            return Optional.of("the transfer encoding is not chunked");
+          }
+        }
+        case "host" -> hosts++;
+        default -> {
+          // Other fields don't say where a message ends or whom it is for.
+        }
+      }
+    }
+    boolean ambiguous = lengths + encodings > 1 || hosts > 1;
+    return ambiguous ? Optional.of("the end of the message is ambiguous") : Optional.empty();
+  }
+
+  private static boolean isLength(String value) {
+    return !value.isEmpty()
+        && value.length() <= LENGTH_LIMIT_DIGITS
+        && value.chars().allMatch(character -> character >= '0' && character <= '9');
+  }
+
+  private static boolean isToken(String name) {
+    return !name.isEmpty() && name.chars().allMatch(FramingCheck::isTokenCharacter);
+  }
+
+  private static boolean isTokenCharacter(int character) {
+    return (character >= 'a' && character <= 'z')
+        || (character >= 'A' && character <= 'Z')
+        || (character >= '0' && character <= '9')
+        || TOKEN_SYMBOLS.indexOf(character) >= 0;
+  }
+
+  private static boolean hasControl(String value) {
+    return value.chars().anyMatch(character -> character < ' ' && character != '\t');
+  }
+}
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
@@ -1,14 +1,14 @@
 package org.corianderweir.http;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedDeque;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.corianderweir.model.ErrorCode;
@@ -18,7 +18,6 @@
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
-import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.Protocol;
@@ -31,18 +30,19 @@
 /**
  * An HTTP client with pooled connections. A connection is used for one exchange at a time and only
  * reused after a whole answer; a late, broken or cancelled exchange closes it, so that no answer
- * can reach another caller.
+ * can reach another caller. An answer that names another request than its own is refused.
  */
 public final class HttpClient {
+  /** The field by which a server may name the request that it answers. */
+  public static final String REQUEST_IDENTIFIER_HEADER = "Weir-Request";
+
   private static final int WORKER_THREADS = 2;
+  private static final Duration SWEEP_PERIOD = Duration.ofSeconds(5);
 
   private final HttpClientOptions options;
   private final TCPNIOTransport transport;
   private final ScheduledThreadPoolExecutor timer;
-  private final Map<HttpAddress, ConcurrentLinkedDeque<IdleConnection>> idle =
-      new ConcurrentHashMap<>();
-
-  private record IdleConnection(Connection<?> connection, long sinceNanoseconds) {}
+  private final Map<HttpAddress, ConnectionPool> pools = new ConcurrentHashMap<>();
 
   /** Creates a client that is not started yet. */
   public HttpClient(HttpClientOptions options) {
@@ -58,17 +58,10 @@
     transport.setProcessor(
         FilterChainBuilder.stateless()
             .add(new TransportFilter())
-            .add(new HttpClientFilter())
-            .add(new ExchangeFilter(options.answerLimitBytes()))
+            .add(new StrictClientFilter())
+            .add(new ExchangeFilter(options.answerLimitBytes(), this::release))
             .build());
-    timer =
-        new ScheduledThreadPoolExecutor(
-            1,
-            task -> {
-              Thread thread = new Thread(task, options.name() + "-timer");
-              thread.setDaemon(true);
-              return thread;
-            });
+    timer = new ScheduledThreadPoolExecutor(1, this::timerThread);
     timer.setRemoveOnCancelPolicy(true);
   }
 
@@ -76,6 +69,11 @@
   public void start() {
     try {
       transport.start();
+      timer.scheduleWithFixedDelay(
+          this::closeOldConnections,
+          SWEEP_PERIOD.toNanos(),
+          SWEEP_PERIOD.toNanos(),
+          TimeUnit.NANOSECONDS);
     } catch (IOException failure) {
       throw new WeirException(ErrorCode.CONNECT_FAILED, "can't start the client", failure);
     }
@@ -94,166 +92,152 @@
   /**
    * Sends a request and reads the whole answer.
    *
-   * <p>The future fails with a {@link WeirException}: {@code CONNECT_FAILED} if no byte was sent;
-   * {@code ANSWER_LOST} or {@code DEADLINE_EXCEEDED} if the request may have run. To cancel the
-   * future closes the connection.
+   * <p>The future fails with a {@link WeirException}: {@code CONNECT_FAILED} if no byte was or will
+   * be sent; {@code ANSWER_LOST} or {@code DEADLINE_EXCEEDED} if the request may have run. To
+   * cancel the future closes the connection.
    */
   public CompletableFuture<HttpReply> exchange(
       HttpAddress address, HttpCall call, Duration timeout) {
-    Exchange exchange = new Exchange(address, call);
-    exchange.deadline =
-        Optional.of(timer.schedule(exchange::expire, timeout.toNanos(), TimeUnit.NANOSECONDS));
-    Optional<Connection<?>> reusable = takeIdle(address);
+    HttpExchange exchange = new HttpExchange(address, call);
+    exchange.deadline(
+        timer.schedule(() -> expire(exchange), timeout.toNanos(), TimeUnit.NANOSECONDS));
+    ConnectionPool pool = pool(address);
+    Optional<Connection<?>> reusable = pool.takeIdle(System.nanoTime());
     if (reusable.isPresent()) {
-      exchange.send(reusable.get());
+      send(exchange, reusable.get());
+    } else if (pool.reserve()) {
+      connect(exchange, pool);
     } else {
-      connect(exchange);
+      exchange.failUnsent("all connections are in use", new ConnectException());
     }
-    return exchange.reply;
+    return exchange.reply();
   }
 
-  private Optional<Connection<?>> takeIdle(HttpAddress address) {
-    ConcurrentLinkedDeque<IdleConnection> connections = idle.get(address);
-    if (connections == null) {
-      return Optional.empty();
-    }
-    IdleConnection candidate = connections.pollLast();
-    while (candidate != null) {
-      long age = System.nanoTime() - candidate.sinceNanoseconds();
-      if (candidate.connection().isOpen() && age < options.idleLifetime().toNanos()) {
-        return Optional.of(candidate.connection());
-      }
-      candidate.connection().closeSilently();
-      candidate = connections.pollLast();
+  /** Opens a connection ahead of need unless an idle one is there. */
+  public void openAhead(HttpAddress address) {
+    ConnectionPool pool = pool(address);
+    if (pool.wantsSpare() && pool.reserve()) {
+      open(
+          address,
+          pool,
+          new EmptyCompletionHandler<Connection>() {
+            @Override
+            public void completed(Connection connection) {
+              pool.release(connection, System.nanoTime());
+            }
+          });
     }
-    return Optional.empty();
+  }
+
+  /** Returns the connections to an address, those being opened too. */
+  public int connections(HttpAddress address) {
+    return pool(address).places();
+  }
+
+  private Thread timerThread(Runnable task) {
+    Thread thread = new Thread(task, options.name() + "-timer");
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  private ConnectionPool pool(HttpAddress address) {
+    return pools.computeIfAbsent(
+        address,
+        unused -> new ConnectionPool(options.connectionsPerAddress(), options.idleLifetime()));
   }
 
   private void release(HttpAddress address, Connection<?> connection) {
-    idle.computeIfAbsent(address, unused -> new ConcurrentLinkedDeque<>())
-        .addLast(new IdleConnection(connection, System.nanoTime()));
+    pool(address).release(connection, System.nanoTime());
   }
 
-  @SuppressWarnings({"rawtypes", "unchecked"})
-  private void connect(Exchange exchange) {
-    timer.schedule(
-        exchange::expireConnect, options.connectTimeout().toNanos(), TimeUnit.NANOSECONDS);
+  private void closeOldConnections() {
+    pools.values().forEach(pool -> pool.closeOld(System.nanoTime()));
+  }
+
+  private static void expire(HttpExchange exchange) {
+    exchange.fail(ErrorCode.DEADLINE_EXCEEDED, "no answer in time", new SocketTimeoutException());
+  }
+
+  private void connect(HttpExchange exchange, ConnectionPool pool) {
+    var timeout =
+        timer.schedule(
+            () -> exchange.failUnsent("no connection in time", new SocketTimeoutException()),
+            options.connectTimeout().toNanos(),
+            TimeUnit.NANOSECONDS);
+    open(
+        exchange.address(),
+        pool,
+        new EmptyCompletionHandler<Connection>() {
+          @Override
+          public void completed(Connection connection) {
+            timeout.cancel(false);
+            send(exchange, connection);
+          }
+
+          @Override
+          public void failed(Throwable failure) {
+            timeout.cancel(false);
+            exchange.failUnsent("can't connect", failure);
+          }
+        });
+  }
+
+  /** Opens a connection in a place that was reserved; the place is freed when it closes. */
+  @SuppressWarnings("rawtypes")
+  private void open(
+      HttpAddress address, ConnectionPool pool, EmptyCompletionHandler<Connection> handler) {
     try {
       transport.connect(
-          new InetSocketAddress(exchange.address.host(), exchange.address.port()),
+          new InetSocketAddress(address.host(), address.port()),
           new EmptyCompletionHandler<Connection>() {
             @Override
             public void completed(Connection connection) {
-              exchange.send(connection);
+              connection.addCloseListener((closeable, type) -> pool.freePlace());
+              handler.completed(connection);
             }
 
             @Override
             public void failed(Throwable failure) {
-              exchange.fail(ErrorCode.CONNECT_FAILED, "can't connect", failure);
+              pool.freePlace();
+              handler.failed(failure);
             }
           });
     } catch (RuntimeException failure) {
-      exchange.fail(ErrorCode.CONNECT_FAILED, "can't connect", failure);
+      pool.freePlace();
+      handler.failed(failure);
     }
   }
 
-  /** One request and its answer. */
-  final class Exchange {
-    private final HttpAddress address;
-    private final HttpCall call;
-    private final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
-    private Optional<ScheduledFuture<?>> deadline = Optional.empty();
-    private Optional<Connection<?>> connection = Optional.empty();
-    private boolean abandoned;
-
-    Exchange(HttpAddress address, HttpCall call) {
-      this.address = address;
-      this.call = call;
-      reply.whenComplete((answer, failure) -> finish(failure != null));
-    }
-
-    synchronized void send(Connection<?> opened) {
-      if (abandoned || reply.isDone()) {
-        opened.closeSilently();
-        return;
-      }
-      connection = Optional.of(opened);
-      ExchangeFilter.begin(opened, this);
-      write(opened);
-    }
-
-    @SuppressWarnings({"rawtypes", "unchecked"})
-    private void write(Connection raw) {
-      raw.write(
-          packet(),
-          new EmptyCompletionHandler<Object>() {
-            @Override
-            public void failed(Throwable failure) {
-              fail(ErrorCode.ANSWER_LOST, "the request could not be written", failure);
-            }
-          });
-    }
-
-    boolean hasNoBodyByMethod() {
-      return call.method().equals("HEAD");
-    }
-
-    void complete(HttpReply answer, boolean reusable) {
-      synchronized (this) {
-        Optional<Connection<?>> used = connection;
-        connection = Optional.empty();
-        if (used.isPresent() && reusable && !reply.isDone()) {
-          release(address, used.get());
-        } else {
-          used.ifPresent(Connection::closeSilently);
-        }
-      }
-      reply.complete(answer);
-    }
-
-    void fail(ErrorCode code, String message, Throwable cause) {
-      reply.completeExceptionally(new WeirException(code, message + ": " + address, cause));
-    }
-
-    private void expire() {
-      ErrorCode code = abandonUnsent() ? ErrorCode.CONNECT_FAILED : ErrorCode.DEADLINE_EXCEEDED;
-      reply.completeExceptionally(new WeirException(code, "no answer in time: " + address));
-    }
-
-    private void expireConnect() {
-      if (abandonUnsent()) {
-        reply.completeExceptionally(
-            new WeirException(ErrorCode.CONNECT_FAILED, "no connection in time: " + address));
-      }
-    }
-
-    /** Makes sure that a request that was not sent yet never will be; returns whether it was so. */
-    private synchronized boolean abandonUnsent() {
-      abandoned |= connection.isEmpty();
-      return abandoned;
-    }
-
-    private synchronized void finish(boolean failed) {
-      deadline.ifPresent(task -> task.cancel(false));
-      if (failed) {
-        connection.ifPresent(Connection::closeSilently);
-        connection = Optional.empty();
-      }
-    }
+  @SuppressWarnings({"rawtypes", "unchecked"})
+  private void send(HttpExchange exchange, Connection connection) {
+    if (!exchange.beginSend(connection)) {
+      connection.closeSilently();
+      return;
+    }
+    ExchangeFilter.begin(connection, exchange);
+    connection.write(
+        packet(exchange),
+        new EmptyCompletionHandler<Object>() {
+          @Override
+          public void failed(Throwable failure) {
+            exchange.fail(ErrorCode.ANSWER_LOST, "the request could not be written", failure);
+          }
+        });
+  }
 
-    private HttpContent packet() {
-      HttpRequestPacket.Builder builder =
-          HttpRequestPacket.builder()
-              .method(call.method())
-              .uri(call.target())
-              .protocol(Protocol.HTTP_1_1)
-              .header("Host", address.toString())
-              .contentLength(call.body().length);
-      for (HttpHeader field : call.headers().fields()) {
-        builder.header(field.name(), field.value());
-      }
-      Buffer content = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, call.body());
-      return builder.build().httpContentBuilder().content(content).last(true).build();
-    }
+  private static HttpContent packet(HttpExchange exchange) {
+    HttpCall call = exchange.call();
+    HttpRequestPacket.Builder builder =
+        HttpRequestPacket.builder()
+            .method(call.method())
+            .uri(call.target())
+            .protocol(Protocol.HTTP_1_1)
+            .header("Host", exchange.address().toString())
+            .contentLength(call.body().length);
+    for (HttpHeader field : call.headers().fields()) {
+      builder.header(field.name(), field.value());
+    }
+    Buffer content = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, call.body());
+    return builder.build().httpContentBuilder().content(content).last(true).build();
   }
 }
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpHeaders.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpHeaders.java
@@ -22,10 +22,23 @@
 
   /** Returns the first value of a name. */
   public Optional<String> first(String name) {
-    return fields.stream()
-        .filter(field -> field.name().equalsIgnoreCase(name))
-        .map(HttpHeader::value)
-        .findFirst();
+    for (HttpHeader field : fields) {
+      if (field.name().equalsIgnoreCase(name)) {
+        return Optional.of(field.value());
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns how many fields have a name. */
+  public int count(String name) {
+    int count = 0;
+    for (HttpHeader field : fields) {
+      if (field.name().equalsIgnoreCase(name)) {
+        count++;
+      }
+    }
+    return count;
   }
 
   /** Returns these fields and one more. */
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
@@ -4,9 +4,14 @@
 import java.util.concurrent.TimeUnit;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import org.glassfish.grizzly.utils.DelayedExecutor;
+import org.glassfish.grizzly.utils.IdleTimeoutFilter;
 
 /** An HTTP server on one address that hands whole requests to an endpoint. */
 public final class HttpListener {
@@ -32,6 +37,7 @@
                 .setCorePoolSize(options.workerThreads())
                 .setMaxPoolSize(options.workerThreads()));
     listener.getTransport().setSelectorRunnersCount(1);
+    listener.registerAddOn(HttpListener::setFilters);
     server.addListener(listener);
     server.getServerConfiguration().setName("corianderweir-" + options.name());
     server
@@ -39,6 +45,15 @@
         .addHttpHandler(new EndpointHandler(endpoint, options.bodyLimitBytes()), "/");
   }
 
+  private static void setFilters(NetworkListener listener, FilterChainBuilder filters) {
+    int position = filters.indexOfType(HttpServerFilter.class);
+    DelayedExecutor executor = IdleTimeoutFilter.createDefaultIdleDelayedExecutor();
+    executor.start();
+    filters.set(
+        position, new StrictServerFilter(HEADER_LIMIT_BYTES, listener.getKeepAlive(), executor));
+    filters.add(filters.indexOfType(TransportFilter.class) + 1, new CallerWatchFilter());
+  }
+
   /**
    * Starts to listen.
    *
--- /dev/null
+++ b/weirhttp/src/main/java/org/corianderweir/http/StrictServerFilter.java
@@ -0,0 +1,70 @@
+package org.corianderweir.http;
+
+import java.util.Optional;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.http.HttpBrokenContentException;
+import org.glassfish.grizzly.http.HttpHeader;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpServerFilter;
+import org.glassfish.grizzly.http.KeepAlive;
+import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.http.util.MimeHeaders;
+import org.glassfish.grizzly.utils.DelayedExecutor;
+
+/** Grizzly's codec for servers; it refuses requests whose end is ambiguous. */
+final class StrictServerFilter extends HttpServerFilter {
+  private static final int FIELDS_LIMIT = 100;
+
+  /** No other protocol is spoken; with this field Grizzly would wait for a body without end. */
+  private static final String UPGRADE = "Upgrade";
+
+  StrictServerFilter(int headerLimitBytes, KeepAlive keepAlive, DelayedExecutor executor) {
+    super(true, headerLimitBytes, "", keepAlive, executor, FIELDS_LIMIT, FIELDS_LIMIT);
+  }
+
+  @Override
+  protected boolean onHttpHeaderParsed(
+      HttpHeader message, Buffer buffer, FilterChainContext context) {
+    HttpRequestPacket request = (HttpRequestPacket) message;
+    Protocol protocol = request.getProtocol();
+    boolean known = protocol == Protocol.HTTP_1_1 || protocol == Protocol.HTTP_1_0;
+    if (!known || !FramingCheck.isMethod(request.getMethod().getMethodString())) {
+      throw new HttpBrokenContentException("not an HTTP/1.1 request");
+    }
+    return super.onHttpHeaderParsed(message, buffer, context);
+  }
+
+  @Override
+  protected void onHttpHeadersParsed(
+      HttpHeader message, MimeHeaders headers, FilterChainContext context) {
+    Optional<String> fault = FramingCheck.fault(headers);
+    if (fault.isPresent()) {
+      throw new HttpBrokenContentException(fault.get());
+    }
+    headers.removeHeader(UPGRADE);
+    super.onHttpHeadersParsed(message, headers, context);
+  }
+
+  @Override
+  protected boolean parseHeaderName(
+      HttpHeader message, MimeHeaders headers, HeaderParsingState state, byte[] input, int end) {
+    boolean complete = super.parseHeaderName(message, headers, state, input, end);
+    checkName(complete, headers);
+    return complete;
+  }
+
+  @Override
+  protected boolean parseHeaderName(
+      HttpHeader message, MimeHeaders headers, HeaderParsingState state, Buffer input) {
+    boolean complete = super.parseHeaderName(message, headers, state, input);
+    checkName(complete, headers);
+    return complete;
+  }
+
+  private static void checkName(boolean complete, MimeHeaders headers) {
+    if (complete && FramingCheck.isAmbiguous(headers)) {
+      throw new HttpBrokenContentException("the end of the message is ambiguous");
+    }
+  }
+}
--- /dev/null
+++ b/weirhttp/src/test/java/org/corianderweir/http/HttpListenerTest.java
@@ -0,0 +1,165 @@
+package org.corianderweir.http;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link HttpListener} against callers that break the rules. */
+public class HttpListenerTest {
+  private static final int BODY_LIMIT_BYTES = 64;
+  private static final String HOST = "Host: here\r\n";
+  private static final String CLOSE = "Connection: close\r\n";
+  private static final String HIDDEN = "GET /hidden HTTP/1.1\r\nHost: here\r\n\r\n";
+
+  private final List<String> handled = new CopyOnWriteArrayList<>();
+  private HttpListener listener;
+
+  @BeforeMethod
+  public void start() {
+    handled.clear();
+    listener =
+        new HttpListener(
+            new HttpListenerOptions("test", "127.0.0.1", 0, BODY_LIMIT_BYTES, 2), this::handle);
+    listener.start();
+  }
+
+  @AfterMethod
+  public void stop() {
+    listener.stop(0);
+  }
+
+  private CompletableFuture<HttpReply> handle(HttpCall call) {
+    handled.add(call.method() + " " + call.target() + " " + call.bodyText());
+    return CompletableFuture.completedFuture(HttpReply.json(200, "{}"));
+  }
+
+  @DataProvider
+  public Object[][] refusedRequests() {
+    String post = "POST /a HTTP/1.1\r\n" + HOST;
+    return new Object[][] {
+      {
+        "length and chunks",
+        post + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+      },
+      {
+        "chunks and length",
+        post + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n"
+      },
+      {"two lengths", post + "Content-Length: 2\r\nContent-Length: 4\r\n\r\nabcd"},
+      {"two equal lengths", post + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nab"},
+      {"list of lengths", post + "Content-Length: 2, 2\r\n\r\nab"},
+      {"signed length", post + "Content-Length: +2\r\n\r\nab"},
+      {"length too long", post + "Content-Length: 99999999999999999999\r\n\r\nab"},
+      {"two encodings", post + "Transfer-Encoding: identity, chunked\r\n\r\n0\r\n\r\n"},
+      {
+        "doubled encoding",
+        post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n\r\n0\r\n\r\n"
+      },
+      {"unknown encoding", post + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"},
+      {"blank before colon", post + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n"},
+      {"bare CR in field", post + "X: a\rTransfer-Encoding: chunked\r\n\r\n"},
+      {"two hosts", "GET /a HTTP/1.1\r\nHost: here\r\nHost: there\r\n\r\n"},
+      {"bad chunk size", post + "Transfer-Encoding: chunked\r\n\r\n0x2\r\nab\r\n0\r\n\r\n"},
+      {"negative chunk size", post + "Transfer-Encoding: chunked\r\n\r\n-2\r\nab\r\n0\r\n\r\n"},
+      {"chunk extension", post + "Transfer-Encoding: chunked\r\n\r\n1;x=y\r\nb\r\n0\r\n\r\n"},
+      {"no end of chunk", post + "Transfer-Encoding: chunked\r\n\r\n2\r\nabXX0\r\n\r\n"},
+      {"not HTTP", "\u0000\u0001\u0002 hello\r\n\r\n"},
+      {
+        "large chunks",
+        post + "Transfer-Encoding: chunked\r\n\r\n41\r\n" + "x".repeat(65) + "\r\n0\r\n\r\n"
+      },
+      {"large head", "GET /a HTTP/1.1\r\nX: " + "x".repeat(20_000) + "\r\n\r\n"}
+    };
+  }
+
+  /** What is refused closes the connection, so that a request hidden behind it is never read. */
+  @Test(dataProvider = "refusedRequests")
+  public void refusesAndHandlesNothing(String name, String request) throws IOException {
+    String answer = converse(request + HIDDEN);
+    assertEquals(
+        List.of(handled, answer.contains(" 200 ")),
+        List.of(List.of(), false),
+        name + ": " + answer);
+  }
+
+  /** A request behind the refused one is the caller's own: its place is not in doubt. */
+  @Test
+  public void largeBodyIsNotHandled() throws IOException {
+    String head = "POST /a HTTP/1.1\r\n" + HOST + "Content-Length: 65\r\n\r\n";
+    String answer = converse(head + "x".repeat(65));
+    assertEquals(
+        List.of(handled, answer.contains("body-too-large"), answer.contains("Read timed out")),
+        List.of(List.of(), true, false));
+  }
+
+  /** A folded line is part of the value before it, never a field of its own. */
+  @Test
+  public void foldedLineIsNoField() throws IOException {
+    String fold = "X: a\r\n Transfer-Encoding: chunked\r\n";
+    converse("POST /a HTTP/1.1\r\n" + HOST + CLOSE + fold + "Content-Length: 2\r\n\r\nab");
+    assertEquals(handled, List.of("POST /a ab"));
+  }
+
+  @DataProvider
+  public Object[][] acceptedRequests() {
+    String post = "POST /a HTTP/1.1\r\n" + HOST + CLOSE;
+    return new Object[][] {
+      {post + "Content-Length: 2\r\n\r\nab"},
+      {post + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nTrail: yes\r\n\r\n"},
+      {post + "transfer-encoding: CHUNKED\r\n\r\n2\r\nab\r\n0\r\n\r\n"}
+    };
+  }
+
+  @Test(dataProvider = "acceptedRequests")
+  public void acceptsWholeRequests(String request) throws IOException {
+    String answer = converse(request);
+    assertEquals(handled, List.of("POST /a ab"), answer);
+  }
+
+  @Test
+  public void requestThatEndsEarlyIsNotHandled() throws IOException {
+    try (Socket socket = new Socket("127.0.0.1", listener.port())) {
+      send(socket, "POST /a HTTP/1.1\r\n" + HOST + "Content-Length: 9\r\n\r\nhalf");
+      socket.shutdownOutput();
+      socket.getInputStream().readAllBytes();
+    }
+    assertEquals(handled, List.of());
+  }
+
+  private String converse(String request) throws IOException {
+    try (Socket socket = new Socket("127.0.0.1", listener.port())) {
+      socket.setSoTimeout(5_000);
+      send(socket, request);
+      return readAll(socket.getInputStream());
+    }
+  }
+
+  private static void send(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    socket.getOutputStream().flush();
+  }
+
+  private static String readAll(InputStream input) {
+    StringBuilder text = new StringBuilder();
+    try {
+      int next = input.read();
+      while (next >= 0) {
+        text.append((char) next);
+        next = input.read();
+      }
+    } catch (IOException reset) {
+      text.append(" [").append(reset.getMessage()).append(']');
+    }
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/delivery/IdentifierIssuer.java
@@ -0,0 +1,83 @@
+package org.corianderweir.logic.delivery;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * Issues request identifiers of one incarnation and recognises them. Only the issuer checks them,
+ * so its secret is its own and nothing needs to be shared. Thread-safe.
+ */
+public final class IdentifierIssuer {
+  private static final String ALGORITHM = "HmacSHA256";
+  private static final int CODE_BYTES = 16;
+
+  private final String instance;
+  private final long incarnation;
+  private final SecretKeySpec secret;
+  private final Duration lifetime;
+  private final long startNanoseconds;
+  private final AtomicLong lastNumber = new AtomicLong();
+
+  /**
+   * Creates an issuer.
+   *
+   * @param secret random bytes that no other process knows
+   * @param lifetime how long an identifier may be used
+   * @param startNanoseconds monotonic time that the expiry of identifiers counts from
+   */
+  public IdentifierIssuer(
+      String instance, long incarnation, byte[] secret, Duration lifetime, long startNanoseconds) {
+    this.instance = instance;
+    this.incarnation = incarnation;
+    this.secret = new SecretKeySpec(secret, ALGORITHM);
+    this.lifetime = lifetime;
+    this.startNanoseconds = startNanoseconds;
+  }
+
+  /** Issues a fresh identifier. */
+  public RequestIdentifier issue(long nowNanoseconds) {
+    long expires = milliseconds(nowNanoseconds) + lifetime.toMillis();
+    RequestIdentifier unsigned =
+        new RequestIdentifier(instance, incarnation, lastNumber.incrementAndGet(), expires, "");
+    return new RequestIdentifier(instance, incarnation, unsigned.number(), expires, code(unsigned));
+  }
+
+  /** Decides who may let a request with an identifier run. */
+  public IdentifierDecision judge(RequestIdentifier identifier, long nowNanoseconds) {
+    if (!identifier.instance().equals(instance) || identifier.incarnation() != incarnation) {
+      return new IdentifierDecision.Foreign();
+    }
+    byte[] expected = code(identifier).getBytes(StandardCharsets.UTF_8);
+    if (!MessageDigest.isEqual(expected, identifier.code().getBytes(StandardCharsets.UTF_8))) {
+      return new IdentifierDecision.Forged();
+    }
+    return milliseconds(nowNanoseconds) < identifier.expiresMilliseconds()
+        ? new IdentifierDecision.Own()
+        : new IdentifierDecision.Expired();
+  }
+
+  /** Returns a monotonic time on the scale of the identifiers' expiry. */
+  public long milliseconds(long nowNanoseconds) {
+    return TimeUnit.NANOSECONDS.toMillis(nowNanoseconds - startNanoseconds);
+  }
+
+  private String code(RequestIdentifier identifier) {
+    try {
+      Mac mac = Mac.getInstance(ALGORITHM);
+      mac.init(secret);
+      byte[] whole = mac.doFinal(identifier.signedText().getBytes(StandardCharsets.UTF_8));
+      byte[] shortened = Arrays.copyOf(whole, CODE_BYTES);
+      return Base64.getUrlEncoder().withoutPadding().encodeToString(shortened);
+    } catch (GeneralSecurityException impossible) {
+      throw new IllegalStateException(impossible);
+    }
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/delivery/RequestIdentifier.java
@@ -0,0 +1,65 @@
+package org.corianderweir.logic.delivery;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.Optional;
+
+/**
+ * An identifier by which a caller may repeat a request without running it twice. It names the one
+ * process that may let the request run.
+ *
+ * @param instance name of the entry instance that issued it
+ * @param incarnation incarnation of that instance
+ * @param number grows with each identifier that the incarnation issues
+ * @param expiresMilliseconds when it expires, in milliseconds of the issuer's own monotonic clock
+ *     since the issuer's start
+ * @param code message authentication code of the rest, Base64
+ */
+public record RequestIdentifier(
+    String instance, long incarnation, long number, long expiresMilliseconds, String code) {
+  private static final String VERSION = "weir1";
+  private static final int PARTS = 6;
+  private static final int RADIX = 36;
+  private static final int LENGTH_LIMIT = 512;
+  private static final Base64.Encoder ENCODER = Base64.getUrlEncoder().withoutPadding();
+  private static final Base64.Decoder DECODER = Base64.getUrlDecoder();
+
+  /** Reads an identifier; empty if the text was not written by {@link #text()}. */
+  public static Optional<RequestIdentifier> parse(String text) {
+    if (text.length() > LENGTH_LIMIT || !text.startsWith(VERSION + '.')) {
+      return Optional.empty();
+    }
+    String[] parts = text.split("\\.", -1);
+    if (parts.length != PARTS) {
+      return Optional.empty();
+    }
+    try {
+      RequestIdentifier identifier =
+          new RequestIdentifier(
+              new String(DECODER.decode(parts[1]), StandardCharsets.UTF_8),
+              Long.parseLong(parts[2], RADIX),
+              Long.parseLong(parts[3], RADIX),
+              Long.parseLong(parts[4], RADIX),
+              parts[5]);
+      return Optional.of(identifier).filter(read -> read.text().equals(text));
+    } catch (IllegalArgumentException malformed) {
+      return Optional.empty();
+    }
+  }
+
+  /** Returns the text that callers send. */
+  public String text() {
+    return signedText() + '.' + code;
+  }
+
+  /** Returns the part that the authentication code covers. */
+  String signedText() {
+    return String.join(
+        ".",
+        VERSION,
+        ENCODER.encodeToString(instance.getBytes(StandardCharsets.UTF_8)),
+        Long.toString(incarnation, RADIX),
+        Long.toString(number, RADIX),
+        Long.toString(expiresMilliseconds, RADIX));
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/delivery/RetryBudget.java
@@ -0,0 +1,37 @@
+package org.corianderweir.logic.delivery;
+
+/**
+ * Bounds the retries of requests that may have run already to a share of the traffic, so that
+ * retries can't multiply the load of backend servers that fail. Thread-safe.
+ */
+public final class RetryBudget {
+  private final double tokensPerRequest;
+  private final double capacity;
+  private double tokens;
+
+  /**
+   * Creates a full budget.
+   *
+   * @param tokensPerRequest retries allowed per first attempt, below one
+   * @param capacity largest number of retries that are saved up
+   */
+  public RetryBudget(double tokensPerRequest, double capacity) {
+    this.tokensPerRequest = tokensPerRequest;
+    this.capacity = capacity;
+    this.tokens = capacity;
+  }
+
+  /** Counts the first attempt of a request. */
+  public synchronized void deposit() {
+    tokens = Math.min(capacity, tokens + tokensPerRequest);
+  }
+
+  /** Takes the allowance of one retry; returns whether there was one. */
+  public synchronized boolean tryTake() {
+    if (tokens < 1) {
+      return false;
+    }
+    tokens -= 1;
+    return true;
+  }
+}
--- a/weirlib/src/main/java/org/corianderweir/model/request/Refusal.java
+++ b/weirlib/src/main/java/org/corianderweir/model/request/Refusal.java
@@ -9,7 +9,7 @@
  */
 public record Refusal(String code, String execution, String message) {
   /** Creates the body for a reason. */
-  public static Refusal of(RefusalReason reason, String message) {
-    return new Refusal(reason.code(), reason.execution().text(), message);
+  public static Refusal of(RefusalReason reason, Execution execution, String message) {
+    return new Refusal(reason.code(), execution.text(), message);
   }
 }
--- a/weirlib/src/main/java/org/corianderweir/model/request/RefusalReason.java
+++ b/weirlib/src/main/java/org/corianderweir/model/request/RefusalReason.java
@@ -18,6 +18,8 @@
   NO_CAPACITY(503, Execution.NOT_RUN),
   /** The request was malformed. */
   REQUEST_INVALID(400, Execution.NOT_RUN),
+  /** The identifier was not issued by an entry instance, or for a request with other content. */
+  IDENTIFIER_INVALID(409, Execution.NOT_RUN),
   /** The request's body is above the limit. */
   BODY_TOO_LARGE(413, Execution.NOT_RUN),
   /** The instance has no configuration yet or is shutting down. */
@@ -26,6 +28,8 @@
   BACKEND_UNREACHABLE(502, Execution.NOT_RUN),
   /** The backend server's answer did not arrive whole. */
   ANSWER_LOST(502, Execution.UNKNOWN),
+  /** An earlier request with the same identifier may have run; this instance can't know more. */
+  OUTCOME_UNKNOWN(502, Execution.UNKNOWN),
   /** The deadline passed while a backend server had the request. */
   DEADLINE_EXCEEDED(504, Execution.UNKNOWN);
 
