--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -3,14 +3,23 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
-import java.time.Duration;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.corianderweir.bench.backend.BackendStandIn;
+import org.corianderweir.bench.backend.JournalFile;
+import org.corianderweir.bench.backend.ServerPlan;
 import org.corianderweir.bench.demo.Demonstration;
+import org.corianderweir.bench.deployment.DeploymentFiles;
+import org.corianderweir.bench.lookup.LookupExperiment;
+import org.corianderweir.bench.platform.PlatformRates;
 import org.corianderweir.bench.platform.PlatformStandIn;
+import org.corianderweir.daemon.SystemTimeSource;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
 
 /** The program {@code weirbench}: stand-ins and experiments, each a command. */
 public final class BenchMain {
@@ -31,9 +40,16 @@
     @Parameter(names = "--port", required = true, description = "TCP port to listen on")
     private int port;
 
+    @Parameter(names = "--writes-per-second", description = "writes above are refused")
+    private int writesPerSecond = PlatformRates.USUAL.writesPerSecond();
+
+    @Parameter(names = "--reads-per-second", description = "reads above are refused")
+    private int readsPerSecond = PlatformRates.USUAL.readsPerSecond();
+
     @Override
     public int run() throws InterruptedException {
-      new PlatformStandIn(host, port).start();
+      PlatformRates rates = new PlatformRates(writesPerSecond, readsPerSecond);
+      new PlatformStandIn(host, port, rates, new SystemTimeSource()).start();
       new CountDownLatch(1).await();
       return 0;
     }
@@ -44,23 +60,18 @@
     @Parameter(
         names = "--server",
         required = true,
-        description = "name/host/port/slots; may be given several times")
+        description = "name/host/port/slots/service ms/cold ms/cold factor; may be repeated")
     private List<String> servers = new ArrayList<>();
 
-    @Parameter(names = "--service-milliseconds", description = "time a request takes")
-    private long serviceMilliseconds = 10;
+    @Parameter(names = "--journal", description = "file that the journals are written to")
+    private String journal = "";
 
     @Override
     public int run() throws InterruptedException {
+      JournalFile file =
+          journal.isEmpty() ? JournalFile.none() : JournalFile.create(Path.of(journal));
       for (String server : servers) {
-        String[] parts = server.split("/");
-        new BackendStandIn(
-                parts[0],
-                parts[1],
-                Integer.parseInt(parts[2]),
-                Integer.parseInt(parts[3]),
-                Duration.ofMillis(serviceMilliseconds))
-            .start();
+        new BackendStandIn(ServerPlan.fromArgument(server), file).start();
       }
       new CountDownLatch(1).await();
       return 0;
@@ -69,12 +80,46 @@
 
   /** Runs the demonstration. */
   private static final class DemoCommand implements Command {
+    @Parameter(names = "--deployment", description = "name of a file in deployments/")
+    private String deployment = "adebayo";
+
     @Parameter(names = "--first-port", description = "first TCP port that is used")
     private int firstPort = 20_000;
 
     @Override
     public int run() {
-      return new Demonstration(firstPort, System.out).run();
+      return new Demonstration(DeploymentFiles.read(deployment), firstPort, System.out).run();
+    }
+  }
+
+  /** Measures the look-up table. */
+  private static final class LookupCommand implements Command {
+    @Parameter(names = "--blocks", description = "number of client blocks")
+    private int blocks = 2_500_000;
+
+    @Parameter(names = "--seed", description = "seed of the generated blocks")
+    private long seed = 1;
+
+    @Override
+    public int run() throws InterruptedException {
+      return new LookupExperiment(blocks, seed, System.out).run();
+    }
+  }
+
+  /** Runs the JMH benchmarks whose names match. */
+  private static final class BenchmarkCommand implements Command {
+    @Parameter(names = "--include", description = "regular expression of benchmark names")
+    private String include = ".*";
+
+    @Override
+    public int run() {
+      try {
+        new Runner(new OptionsBuilder().include(include).addProfiler("gc").build()).run();
+        return 0;
+      } catch (RunnerException failure) {
+        System.err.println(failure.getMessage());
+        return 1;
+      }
     }
   }
 
@@ -84,7 +129,9 @@
         Map.of(
             "platform", new PlatformCommand(),
             "backend", new BackendCommand(),
-            "demo", new DemoCommand());
+            "demo", new DemoCommand(),
+            "look-up", new LookupCommand(),
+            "benchmark", new BenchmarkCommand());
     JCommander commander = JCommander.newBuilder().programName("weirbench").build();
     commands.forEach(commander::addCommand);
     try {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Delivery.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Delivery.java
@@ -76,6 +76,7 @@
   private final class Attempts {
     private final RequestContext context;
     private final CompletableFuture<HttpReply> result = new CompletableFuture<>();
+    private final double draw = ThreadLocalRandom.current().nextDouble();
     private final Set<String> tried = new HashSet<>();
     private Execution execution = Execution.NOT_RUN;
     private RefusalReason lastReason = RefusalReason.NO_CAPACITY;
@@ -99,7 +100,7 @@
 
     private Optional<BackendServer> choose() {
       List<BackendServer> untried =
-          context.snapshot().candidates(context.selector().service()).stream()
+          context.snapshot().candidates(context.selector().name(), draw).stream()
               .filter(server -> !tried.contains(server.name()))
               .toList();
       return ServerChooser.choose(untried, inFlight, ThreadLocalRandom.current());
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
@@ -3,11 +3,14 @@
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.corianderweir.daemon.control.ConfigurationService;
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.daemon.control.LimitService;
 import org.corianderweir.daemon.control.MembershipService;
+import org.corianderweir.daemon.settings.DaemonSettings;
+import org.corianderweir.daemon.steering.SteeringService;
 import org.corianderweir.http.HttpCall;
 import org.corianderweir.http.HttpClient;
 import org.corianderweir.http.HttpClientOptions;
@@ -20,6 +23,9 @@
 import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.delivery.RequestIdentifier;
 import org.corianderweir.logic.lookup.EntrySelector;
+import org.corianderweir.logic.lookup.LookupDirectory;
+import org.corianderweir.logic.steering.SteeringTable;
+import org.corianderweir.model.configuration.AvailabilityZone;
 import org.corianderweir.model.configuration.Configuration;
 import org.corianderweir.model.request.LookupAnswer;
 import org.corianderweir.model.request.RefusalReason;
@@ -36,19 +42,19 @@
   /** The path of look-ups. */
   public static final String LOOKUP_PATH = "/.weir/look-up";
 
-  private static final int BODY_LIMIT_BYTES = 1024 * 1024;
   private static final int ANSWER_LIMIT_BYTES = 8 * 1024 * 1024;
   private static final int WORKER_THREADS = 4;
   private static final int STATUS_OK = 200;
-  private static final Duration LOOKUP_LIFETIME = Duration.ofSeconds(2);
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration IDLE_LIFETIME = Duration.ofSeconds(30);
   private static final Duration STOP_POLL_PERIOD = Duration.ofMillis(20);
   private static final Duration STOP_LIMIT = Duration.ofSeconds(65);
 
   private final EntryInstance self;
+  private final Duration lookupLifetime;
   private final ConfigurationService configuration;
   private final MembershipService membership;
+  private final SteeringService steering;
   private final TimeSource time;
   private final HttpClient client;
   private final HttpListener listener;
@@ -56,24 +62,30 @@
   private final Delivery delivery;
   private final RunOnceGate gate;
   private final RequestPipeline pipeline;
-  private volatile TrafficSnapshot snapshot = TrafficSnapshot.of(Configuration.EMPTY);
+  private volatile LookupDirectory lookups = LookupDirectory.EMPTY;
+  private volatile TrafficSnapshot snapshot =
+      TrafficSnapshot.of(Configuration.EMPTY, () -> SteeringTable.EMPTY);
 
   /** Creates the service; it does not listen yet. */
   public TrafficService(
-      EntryInstance self,
+      DaemonSettings settings,
       ConfigurationService configuration,
       MembershipService membership,
       LimitService limits,
+      SteeringService steering,
       EventLog events,
       MetricRegistry metrics,
       TimeSource time) {
-    this.self = self;
+    this.self = settings.instance();
+    this.lookupLifetime = settings.lookupLifetime();
     this.configuration = configuration;
     this.membership = membership;
+    this.steering = steering;
     this.time = time;
     client =
         new HttpClient(
-            new HttpClientOptions("backend", CONNECT_TIMEOUT, IDLE_LIFETIME, ANSWER_LIMIT_BYTES));
+            new HttpClientOptions("backend", CONNECT_TIMEOUT, IDLE_LIFETIME, ANSWER_LIMIT_BYTES)
+                .from(self.host()));
     refusals = new Refusals(self.name(), events, metrics);
     delivery = new Delivery(self.name(), client, refusals, events, metrics, time);
     gate =
@@ -87,18 +99,22 @@
     listener =
         new HttpListener(
             new HttpListenerOptions(
-                "callers", self.host(), self.callerPort(), BODY_LIMIT_BYTES, WORKER_THREADS),
+                "callers",
+                self.host(),
+                self.callerPort(),
+                settings.bodyLimitBytes(),
+                WORKER_THREADS),
             this::answer);
   }
 
   @Override
   public List<ServiceName<?>> dependencies() {
-    return List.of(MembershipService.NAME, LimitService.NAME);
+    return List.of(MembershipService.NAME, LimitService.NAME, SteeringService.NAME);
   }
 
   @Override
   public void start(ServiceDirectory directory) {
-    configuration.onChange(changed -> snapshot = TrafficSnapshot.of(changed));
+    configuration.onChange(this::adopt);
     client.start();
     listener.start();
   }
@@ -106,7 +122,7 @@
   /** Ends after the look-up answers given have expired and all requests have been answered. */
   @Override
   public void stop() {
-    long lookupsExpired = time.monotonicNanoseconds() + LOOKUP_LIFETIME.toNanos();
+    long lookupsExpired = time.monotonicNanoseconds() + lookupLifetime.toNanos();
     long limit = time.monotonicNanoseconds() + STOP_LIMIT.toNanos();
     while (time.monotonicNanoseconds() < lookupsExpired
         || (delivery.requestsInFlight() > 0 && time.monotonicNanoseconds() < limit)) {
@@ -124,6 +140,11 @@
     }
   }
 
+  private void adopt(Configuration changed) {
+    lookups = lookups.updated(changed);
+    snapshot = TrafficSnapshot.of(changed, steering::table);
+  }
+
   private CompletableFuture<HttpReply> answer(HttpCall call) {
     if (membership.state() == InstanceState.JOINING) {
       return CompletableFuture.completedFuture(notServing(call));
@@ -147,16 +168,15 @@
   }
 
   private HttpReply lookup(HttpCall call) {
-    String zone = call.parameter("availability-zone", self.availabilityZone());
-    String region =
-        snapshot.configuration().zones().stream()
-            .filter(known -> known.name().equals(zone))
-            .map(known -> known.region())
-            .findFirst()
-            .orElse(self.region());
+    String client = call.parameter("client", "");
+    Optional<AvailabilityZone> zone = lookups.zoneOf(client);
     LookupAnswer answer =
         EntrySelector.select(
-            membership.members(), call.parameter("client", ""), zone, region, LOOKUP_LIFETIME);
+            membership.members(),
+            client,
+            zone.map(AvailabilityZone::name).orElse(self.availabilityZone()),
+            zone.map(AvailabilityZone::region).orElse(self.region()),
+            lookupLifetime);
     return HttpReply.json(STATUS_OK, Json.write(answer));
   }
 }
--- a/weirdaemon/src/test/java/org/corianderweir/daemon/traffic/TestEntry.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/traffic/TestEntry.java
@@ -17,6 +17,10 @@
 import org.corianderweir.http.HttpReply;
 import org.corianderweir.logic.limits.AdmissionDecision;
 import org.corianderweir.logic.membership.Member;
+import org.corianderweir.logic.steering.CellConditions;
+import org.corianderweir.logic.steering.SteeringTable;
+import org.corianderweir.logic.steering.SteeringTracker;
+import org.corianderweir.model.configuration.AvailabilityZone;
 import org.corianderweir.model.configuration.BackendServer;
 import org.corianderweir.model.configuration.Configuration;
 import org.corianderweir.model.configuration.Selector;
@@ -54,12 +58,17 @@
     gate = new RunOnceGate(name, forwarder, refusals, time);
     Delivery delivery = new Delivery(name, client, refusals, events, metrics, time);
     pipeline = new RequestPipeline(name, this::admit, gate, delivery, refusals, metrics, time);
-    snapshot =
-        TrafficSnapshot.of(
-            Configuration.builder()
-                .backendServers(servers)
-                .selectors(List.of(new Selector("all", "/", "shop", true, List.of())))
-                .build());
+    Configuration configuration =
+        Configuration.builder()
+            .zones(List.of(new AvailabilityZone("zone", "region", List.of())))
+            .backendServers(servers)
+            .selectors(List.of(new Selector("all", "/", "shop", true, List.of())))
+            .build();
+    SteeringTracker tracker = new SteeringTracker("region", 0);
+    tracker.adopt(configuration, 0);
+    SteeringTable table =
+        tracker.step(server -> new CellConditions.ServerCondition(true, true, true, 0), 0, 0);
+    snapshot = TrafficSnapshot.of(configuration, () -> table);
     listener =
         new HttpListener(
             new HttpListenerOptions(name, "127.0.0.1", 0, LIMIT_BYTES, 4), this::answer);
@@ -117,6 +126,6 @@
   }
 
   private static HttpClientOptions options() {
-    return new HttpClientOptions("test-entry", LONG, LONG, LIMIT_BYTES, 32);
+    return new HttpClientOptions("test-entry", LONG, LONG, LIMIT_BYTES);
   }
 }
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.Map;
@@ -26,6 +27,7 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import org.jspecify.annotations.Nullable;
 
 /**
  * An HTTP client with pooled connections. A connection is used for one exchange at a time and only
@@ -189,6 +191,7 @@
     try {
       transport.connect(
           new InetSocketAddress(address.host(), address.port()),
+          localAddress(),
           new EmptyCompletionHandler<Connection>() {
             @Override
             public void completed(Connection connection) {
@@ -208,6 +211,10 @@
     }
   }
 
+  private @Nullable SocketAddress localAddress() {
+    return options.localHost().map(host -> new InetSocketAddress(host, 0)).orElse(null);
+  }
+
   @SuppressWarnings({"rawtypes", "unchecked"})
   private void send(HttpExchange exchange, Connection connection) {
     if (!exchange.beginSend(connection)) {
--- a/weirhttp/src/main/java/org/corianderweir/http/StrictServerFilter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/StrictServerFilter.java
@@ -43,6 +43,7 @@
       throw new HttpBrokenContentException(fault.get());
     }
     headers.removeHeader(UPGRADE);
+    message.getUpgradeDC().recycle();
     super.onHttpHeadersParsed(message, headers, context);
   }
 
--- a/weirhttp/src/test/java/org/corianderweir/http/HttpClientTest.java
+++ b/weirhttp/src/test/java/org/corianderweir/http/HttpClientTest.java
@@ -29,7 +29,9 @@
 
   @BeforeMethod
   public void start() {
-    client = new HttpClient(new HttpClientOptions("test", LONG, LONG, LIMIT_BYTES, 2));
+    client =
+        new HttpClient(
+            new HttpClientOptions("test", LONG, LONG, LIMIT_BYTES).withConnectionsPerAddress(2));
     client.start();
   }
 
--- a/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationChange.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationChange.java
@@ -4,7 +4,14 @@
 import org.corianderweir.model.configuration.Configuration;
 
 /** A change that an operator asks for. */
-public sealed interface ConfigurationChange {
+public sealed interface ConfigurationChange
+    permits ConfigurationChange.Replace,
+        ConfigurationChange.AddKey,
+        ConfigurationChange.WithdrawKey,
+        ConfigurationChange.SetDrained,
+        ClientBlockChange,
+        OrganisationChange,
+        SteeringChange {
   /**
    * Replaces everything.
    *
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/protocol/ConfigurationDocuments.java
@@ -0,0 +1,180 @@
+package org.corianderweir.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import net.openhft.hashing.LongHashFunction;
+import org.corianderweir.logic.configuration.ContentHash;
+import org.corianderweir.model.ErrorCode;
+import org.corianderweir.model.WeirException;
+import org.corianderweir.model.configuration.AcceptedChange;
+import org.corianderweir.model.configuration.Configuration;
+import org.corianderweir.model.configuration.ConfigurationHead;
+import org.corianderweir.model.configuration.ConfigurationIndex;
+import org.corianderweir.model.configuration.DocumentReference;
+import org.corianderweir.model.configuration.PastRevision;
+
+/**
+ * Splits a configuration into documents by kind, and each kind into chunks whose borders depend on
+ * the content, so that a change of one item changes one document (content-defined chunking, after
+ * Muthitacharoen, Chen and Mazières, "A Low-bandwidth Network File System", 2001).
+ */
+public final class ConfigurationDocuments {
+  /** Largest document in bytes of UTF-8, safely below the limit of the platform's service. */
+  public static final int DOCUMENT_LIMIT_BYTES = 900_000;
+
+  private static final int CHUNK_MINIMUM_CHARACTERS = 8 * 1024;
+  private static final int CHUNK_MAXIMUM_CHARACTERS = 64 * 1024;
+  private static final long BORDER_MASK = 63;
+  private static final String REVISION = "revision";
+  private static final String OPERATION = "operation";
+  private static final LongHashFunction HASH = LongHashFunction.xx3();
+
+  private ConfigurationDocuments() {}
+
+  /**
+   * A configuration as it is stored and sent.
+   *
+   * @param head the head
+   * @param index the index
+   * @param indexText text of the index, whose hash the head has
+   * @param texts texts of the documents by their hash
+   */
+  public record Bundle(
+      ConfigurationHead head,
+      ConfigurationIndex index,
+      String indexText,
+      Map<String, String> texts) {
+    /** Copies the map. */
+    public Bundle {
+      texts = Map.copyOf(texts);
+    }
+  }
+
+  /**
+   * Splits a configuration.
+   *
+   * @throws WeirException with code {@code CONFIGURATION_INVALID} if a document gets too large
+   */
+  public static Bundle split(
+      Configuration configuration, AcceptedChange change, List<PastRevision> history) {
+    List<DocumentReference> references = new ArrayList<>();
+    Map<String, String> texts = new LinkedHashMap<>();
+    for (Map.Entry<String, JsonNode> field : Json.toTree(configuration).properties()) {
+      for (String text : documentsOf(field.getKey(), field.getValue())) {
+        String hash = ContentHash.of(text);
+        references.add(new DocumentReference(field.getKey(), hash));
+        texts.put(hash, checkedSize(field.getKey(), text));
+      }
+    }
+    ConfigurationIndex index = new ConfigurationIndex(change, references, history);
+    String indexText = checkedSize("index", Json.write(index));
+    ConfigurationHead head =
+        new ConfigurationHead(
+            configuration.revision(), configuration.operation(), ContentHash.of(indexText));
+    return new Bundle(head, index, indexText, texts);
+  }
+
+  /**
+   * Puts a configuration together again.
+   *
+   * @param text returns the text of a hash; its content is checked here
+   * @throws WeirException with code {@code CONFIGURATION_INVALID} if a document is missing or has
+   *     another hash, {@code JSON_INVALID} if one can't be read
+   */
+  public static Configuration assemble(
+      ConfigurationIndex index, Function<String, Optional<String>> text) {
+    ObjectNode whole = Json.emptyObject();
+    whole.put(REVISION, index.change().revision());
+    whole.put(OPERATION, index.change().operation());
+    for (DocumentReference reference : index.documents()) {
+      JsonNode part = Json.read(checkedText(reference, text), JsonNode.class);
+      JsonNode known = whole.get(reference.kind());
+      if (known instanceof ArrayNode array && part instanceof ArrayNode more) {
+        array.addAll(more);
+      } else {
+        whole.set(reference.kind(), part);
+      }
+    }
+    return Json.fromTree(whole, Configuration.class);
+  }
+
+  /**
+   * Reads an index and checks it against its head.
+   *
+   * @throws WeirException with code {@code CONFIGURATION_INVALID} or {@code JSON_INVALID}
+   */
+  public static ConfigurationIndex readIndex(ConfigurationHead head, String indexText) {
+    if (!ContentHash.of(indexText).equals(head.indexHash())) {
+      throw invalid("the index does not have the hash that its head names");
+    }
+    ConfigurationIndex index = Json.read(indexText, ConfigurationIndex.class);
+    boolean sameChange =
+        index.change().revision() == head.revision()
+            && index.change().operation().equals(head.operation());
+    if (!sameChange) {
+      throw invalid("the index belongs to revision " + index.change().revision());
+    }
+    return index;
+  }
+
+  private static String checkedText(
+      DocumentReference reference, Function<String, Optional<String>> text) {
+    String content =
+        text.apply(reference.hash()).orElseThrow(() -> invalid("no document " + reference.hash()));
+    if (!ContentHash.of(content).equals(reference.hash())) {
+      throw invalid("the document " + reference.hash() + " has another content");
+    }
+    return content;
+  }
+
+  private static List<String> documentsOf(String kind, JsonNode value) {
+    if (kind.equals(REVISION) || kind.equals(OPERATION)) {
+      return List.of();
+    }
+    return value instanceof ArrayNode array ? chunks(array) : List.of(value.toString());
+  }
+
+  private static List<String> chunks(ArrayNode array) {
+    List<String> chunks = new ArrayList<>();
+    StringBuilder chunk = new StringBuilder("[");
+    for (JsonNode item : array) {
+      String text = item.toString();
+      if (chunk.length() > 1 && chunk.length() + text.length() > CHUNK_MAXIMUM_CHARACTERS) {
+        close(chunks, chunk);
+      }
+      chunk.append(chunk.length() > 1 ? "," : "").append(text);
+      boolean border = (HASH.hashChars(text) & BORDER_MASK) == 0;
+      if (border && chunk.length() >= CHUNK_MINIMUM_CHARACTERS) {
+        close(chunks, chunk);
+      }
+    }
+    if (chunk.length() > 1 || chunks.isEmpty()) {
+      close(chunks, chunk);
+    }
+    return chunks;
+  }
+
+  private static void close(List<String> chunks, StringBuilder chunk) {
+    chunks.add(chunk.append(']').toString());
+    chunk.setLength(1);
+  }
+
+  private static String checkedSize(String kind, String text) {
+    int bytes = text.getBytes(java.nio.charset.StandardCharsets.UTF_8).length;
+    if (bytes > DOCUMENT_LIMIT_BYTES) {
+      throw invalid("a document of " + kind + " has " + bytes + " bytes");
+    }
+    return text;
+  }
+
+  private static WeirException invalid(String message) {
+    return new WeirException(ErrorCode.CONFIGURATION_INVALID, message);
+  }
+}
