--- a/weirbench/src/main/java/org/corianderweir/bench/demo/DemonstrationCaller.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/demo/DemonstrationCaller.java
@@ -13,6 +13,7 @@
 import org.corianderweir.http.HttpCall;
 import org.corianderweir.http.HttpHeaders;
 import org.corianderweir.http.HttpReply;
+import org.corianderweir.logic.delivery.RetryPolicy;
 import org.corianderweir.model.request.LookupAnswer;
 import org.corianderweir.model.topology.EntryInstance;
 import org.corianderweir.protocol.Json;
@@ -56,8 +57,10 @@
 
   /** Sends a request to an entry instance and returns the status; zero without answer. */
   int sendTo(EntryInstance instance, Deployment.Route route, String key) {
-    HttpHeaders headers =
-        HttpHeaders.NONE.with(CallerHeaders.REQUEST, "demo-" + requestNumber.incrementAndGet());
+    HttpHeaders headers = HttpHeaders.NONE;
+    if (RetryPolicy.isIdempotent(route.method())) {
+      headers = headers.with(CallerHeaders.REQUEST, "demo-" + requestNumber.incrementAndGet());
+    }
     if (!key.isEmpty()) {
       headers = headers.with(CallerHeaders.KEY, key);
     }
