--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -26,7 +26,7 @@
   private BenchMain() {}
 
   /** A command of the program. */
-  private interface Command {
+  interface Command {
     int run() throws InterruptedException;
   }
 
@@ -121,6 +121,7 @@
             "platform", new PlatformCommand(),
             "backend", new BackendCommand(),
             "demo", new DemoCommand(),
+            "run", new RunCommand(),
             "look-up", new LookupCommand(),
             "benchmark", new BenchmarkCommand());
     JCommander commander = JCommander.newBuilder().programName("weirbench").build();
--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/report/Measures.java
@@ -0,0 +1,184 @@
+package org.corianderweir.bench.report;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.corianderweir.bench.backend.JournalEntry;
+import org.corianderweir.bench.deployment.Deployment;
+import org.corianderweir.bench.observer.Evidence;
+import org.corianderweir.bench.observer.Incident;
+import org.corianderweir.model.configuration.BackendServer;
+
+/** Works out the measures of the brief from the evidence of a run. */
+final class Measures {
+  private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
+
+  private final Evidence evidence;
+  private final List<RequestHistory> requests;
+
+  private record Change(long at, int difference) {}
+
+  Measures(Evidence evidence) {
+    this.evidence = evidence;
+    requests = RequestHistory.join(evidence.calls());
+  }
+
+  List<RequestHistory> requests() {
+    return requests;
+  }
+
+  LatencySummary latency() {
+    return latencyOf(requests);
+  }
+
+  /** Returns the time from the first sending to the arrival at the backend server. */
+  LatencySummary waiting() {
+    Map<String, Long> arrived = new HashMap<>();
+    for (JournalEntry run : evidence.runs()) {
+      arrived.merge(run.request(), run.beginNanoseconds(), Math::min);
+    }
+    List<Long> waits = new ArrayList<>();
+    for (RequestHistory request : requests) {
+      Long at = arrived.get(request.first().identifier());
+      if (at != null) {
+        waits.add(at - request.first().startNanoseconds());
+      }
+    }
+    return LatencySummary.of(waits);
+  }
+
+  Map<String, Long> failures() {
+    return failuresOf(requests);
+  }
+
+  long shed() {
+    return evidence.journal().stream().filter(entry -> !entry.ran()).count();
+  }
+
+  long repeated() {
+    return evidence.calls().stream().filter(call -> call.attempt() > 1).count();
+  }
+
+  /** Returns how each organisation fared, the open routes first. */
+  List<RunReport.OrganisationResult> organisations() {
+    Map<String, List<RequestHistory>> byName =
+        requests.stream().collect(Collectors.groupingBy(each -> each.first().organisation()));
+    List<RunReport.OrganisationResult> results = new ArrayList<>();
+    List<RequestHistory> open = byName.getOrDefault("", List.of());
+    results.add(result("", open, new WrongfulRefusals.Count(open.size(), open.size(), 0)));
+    for (Deployment.OrganisationPlan organisation : evidence.deployment().organisations()) {
+      List<RequestHistory> own = byName.getOrDefault(organisation.name(), List.of());
+      results.add(result(organisation.name(), own, WrongfulRefusals.count(organisation, own)));
+    }
+    return results;
+  }
+
+  private static RunReport.OrganisationResult result(
+      String name, List<RequestHistory> own, WrongfulRefusals.Count count) {
+    return new RunReport.OrganisationResult(
+        name,
+        own.size(),
+        own.stream().filter(RequestHistory::answered).count(),
+        count.insideRate(),
+        count.wrongful(),
+        failuresOf(own),
+        latencyOf(own));
+  }
+
+  /** Returns the organisation with the smallest answered share, then the highest p99. */
+  static String worstServed(List<RunReport.OrganisationResult> results) {
+    return results.stream()
+        .filter(result -> !result.organisation().isEmpty() && result.requests() > 0)
+        .min(
+            Comparator.comparingDouble(RunReport.OrganisationResult::answeredShare)
+                .thenComparing(result -> -result.latency().p99()))
+        .map(
+            result ->
+                "%s: %.2f%% answered of what was inside its rate, p99 %.0f ms"
+                    .formatted(
+                        result.organisation(),
+                        result.answeredShare() * 100,
+                        result.latency().p99()))
+        .orElse("");
+  }
+
+  /** Returns the free part of the slots at the busiest moment, for each region and service. */
+  Map<String, Double> headroom() {
+    Map<String, String> regions =
+        evidence.deployment().zones().stream()
+            .collect(Collectors.toMap(Deployment.Zone::name, Deployment.Zone::region));
+    Map<String, String> poolOfServer = new HashMap<>();
+    Map<String, Integer> slots = new TreeMap<>();
+    for (BackendServer server : evidence.servers()) {
+      String pool = regions.get(server.availabilityZone()) + "/" + server.service();
+      poolOfServer.put(server.name(), pool);
+      slots.merge(pool, server.slots(), Integer::sum);
+    }
+    Map<String, List<JournalEntry>> runs =
+        evidence.runs().stream()
+            .collect(Collectors.groupingBy(run -> String.valueOf(poolOfServer.get(run.server()))));
+    Map<String, Double> headroom = new TreeMap<>();
+    slots.forEach(
+        (pool, count) -> {
+          int busiest = busiest(runs.getOrDefault(pool, List.of()));
+          headroom.put(pool, 1 - (double) busiest / count);
+        });
+    return headroom;
+  }
+
+  private static int busiest(List<JournalEntry> runs) {
+    List<Change> changes = new ArrayList<>();
+    for (JournalEntry run : runs) {
+      changes.add(new Change(run.beginNanoseconds(), 1));
+      if (run.endNanoseconds() > 0) {
+        changes.add(new Change(run.endNanoseconds(), -1));
+      }
+    }
+    changes.sort(Comparator.comparingLong(Change::at));
+    int running = 0;
+    int highest = 0;
+    for (Change change : changes) {
+      running += change.difference();
+      highest = Math.max(highest, running);
+    }
+    return highest;
+  }
+
+  /** Returns the drain time in milliseconds of each server that was drained. */
+  Map<String, Double> drains() {
+    Map<String, Double> times = new TreeMap<>();
+    evidence
+        .incidents(Incident.ServerDrained.class)
+        .forEach(
+            drain -> {
+              long last =
+                  evidence.runs().stream()
+                      .filter(run -> run.server().equals(drain.server()))
+                      .mapToLong(JournalEntry::endNanoseconds)
+                      .max()
+                      .orElse(drain.acceptedNanoseconds());
+              long took = Math.max(0, last - drain.acceptedNanoseconds());
+              times.put(drain.server(), took / NANOSECONDS_PER_MILLISECOND);
+            });
+    return times;
+  }
+
+  private static LatencySummary latencyOf(List<RequestHistory> histories) {
+    return LatencySummary.of(
+        histories.stream()
+            .filter(RequestHistory::answered)
+            .map(RequestHistory::latencyNanoseconds)
+            .toList());
+  }
+
+  private static Map<String, Long> failuresOf(List<RequestHistory> histories) {
+    return histories.stream()
+        .filter(history -> !history.answered())
+        .collect(
+            Collectors.groupingBy(RequestHistory::failure, TreeMap::new, Collectors.counting()));
+  }
+}
