--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
@@ -10,6 +10,7 @@
 import org.corianderweir.daemon.control.LimitService;
 import org.corianderweir.daemon.control.MembershipService;
 import org.corianderweir.daemon.settings.DaemonSettings;
+import org.corianderweir.daemon.steering.SteeringService;
 import org.corianderweir.http.HttpCall;
 import org.corianderweir.http.HttpClient;
 import org.corianderweir.http.HttpClientOptions;
@@ -22,6 +23,7 @@
 import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.lookup.EntrySelector;
 import org.corianderweir.logic.lookup.LookupDirectory;
+import org.corianderweir.logic.steering.SteeringTable;
 import org.corianderweir.model.configuration.AvailabilityZone;
 import org.corianderweir.model.configuration.Configuration;
 import org.corianderweir.model.request.LookupAnswer;
@@ -51,12 +53,14 @@
   private final Duration lookupLifetime;
   private final ConfigurationService configuration;
   private final MembershipService membership;
+  private final SteeringService steering;
   private final TimeSource time;
   private final HttpClient client;
   private final HttpListener listener;
   private final RequestPipeline pipeline;
   private volatile LookupDirectory lookups = LookupDirectory.EMPTY;
-  private volatile TrafficSnapshot snapshot = TrafficSnapshot.of(Configuration.EMPTY);
+  private volatile TrafficSnapshot snapshot =
+      TrafficSnapshot.of(Configuration.EMPTY, () -> SteeringTable.EMPTY);
 
   /** Creates the service; it does not listen yet. */
   public TrafficService(
@@ -64,6 +68,7 @@
       ConfigurationService configuration,
       MembershipService membership,
       LimitService limits,
+      SteeringService steering,
       EventLog events,
       MetricRegistry metrics,
       TimeSource time) {
@@ -71,6 +76,7 @@
     this.lookupLifetime = settings.lookupLifetime();
     this.configuration = configuration;
     this.membership = membership;
+    this.steering = steering;
     this.time = time;
     client =
         new HttpClient(
@@ -90,7 +96,7 @@
 
   @Override
   public List<ServiceName<?>> dependencies() {
-    return List.of(MembershipService.NAME, LimitService.NAME);
+    return List.of(MembershipService.NAME, LimitService.NAME, SteeringService.NAME);
   }
 
   @Override
@@ -123,7 +129,7 @@
 
   private void adopt(Configuration changed) {
     lookups = lookups.updated(changed);
-    snapshot = TrafficSnapshot.of(changed);
+    snapshot = TrafficSnapshot.of(changed, steering::table);
   }
 
   private CompletableFuture<HttpReply> answer(HttpCall call) {
