--- a/weirbench/src/main/java/org/corianderweir/bench/deployment/Deployment.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/deployment/Deployment.java
@@ -106,6 +106,25 @@
   public record OrganisationPlan(
       String name, double requestsPerSecond, int burst, String homeRegion, double demand) {}
 
+  /** Returns a deployment of only the first zones and the organisations next to them. */
+  public Deployment firstZones(int count) {
+    List<Zone> kept = zones.subList(0, count);
+    List<OrganisationPlan> near =
+        organisations.stream()
+            .filter(each -> kept.stream().anyMatch(zone -> zone.region().equals(each.homeRegion())))
+            .toList();
+    return new Deployment(
+        name,
+        storeZone,
+        latency,
+        linkMegabitsPerSecond,
+        openRequestsPerSecond,
+        kept,
+        services,
+        routes,
+        near);
+  }
+
   /** Returns a smaller deployment with the same shape. */
   public Deployment limitedTo(int entryInstancesPerZone, int serversPerService) {
     return new Deployment(
--- a/weirbench/src/main/java/org/corianderweir/bench/report/Measures.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/report/Measures.java
@@ -18,13 +18,23 @@
   private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
 
   private final Evidence evidence;
+  private final long startNanoseconds;
   private final List<RequestHistory> requests;
 
   private record Change(long at, int difference) {}
 
-  Measures(Evidence evidence) {
+  /**
+   * Creates the measures of a run.
+   *
+   * @param startNanoseconds monotonic time from which requests are measured
+   */
+  Measures(Evidence evidence, long startNanoseconds) {
     this.evidence = evidence;
-    requests = RequestHistory.join(evidence.calls());
+    this.startNanoseconds = startNanoseconds;
+    requests =
+        RequestHistory.join(evidence.calls()).stream()
+            .filter(request -> request.first().intendedNanoseconds() >= startNanoseconds)
+            .toList();
   }
 
   List<RequestHistory> requests() {
@@ -56,11 +66,17 @@
   }
 
   long shed() {
-    return evidence.journal().stream().filter(entry -> !entry.ran()).count();
+    return evidence.journal().stream()
+        .filter(entry -> entry.beginNanoseconds() >= startNanoseconds)
+        .filter(entry -> !entry.ran())
+        .count();
   }
 
   long repeated() {
-    return evidence.calls().stream().filter(call -> call.attempt() > 1).count();
+    return evidence.calls().stream()
+        .filter(call -> call.intendedNanoseconds() >= startNanoseconds)
+        .filter(call -> call.attempt() > 1)
+        .count();
   }
 
   /** Returns how each organisation fared, the open routes first. */
@@ -120,6 +136,7 @@
     }
     Map<String, List<JournalEntry>> runs =
         evidence.runs().stream()
+            .filter(run -> run.endNanoseconds() >= startNanoseconds)
             .collect(Collectors.groupingBy(run -> String.valueOf(poolOfServer.get(run.server()))));
     Map<String, Double> headroom = new TreeMap<>();
     slots.forEach(
--- a/weirbench/src/main/java/org/corianderweir/bench/report/ReportWriter.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/report/ReportWriter.java
@@ -30,7 +30,7 @@
   /** Judges and measures a run. */
   public static RunReport report(RunOptions options, Experiment.Outcome outcome) {
     Evidence evidence = outcome.evidence();
-    Measures measures = new Measures(evidence);
+    Measures measures = new Measures(evidence, outcome.startNanoseconds());
     List<Verdict> verdicts = options.baseline() ? List.of() : Observer.judge(evidence);
     List<RunReport.OrganisationResult> organisations = measures.organisations();
     List<String> notes = notes(outcome);
@@ -108,7 +108,7 @@
 
   private static String page(RunReport report, Experiment.Outcome outcome) throws IOException {
     long start = outcome.startNanoseconds();
-    List<RequestHistory> requests = RequestHistory.join(outcome.evidence().calls());
+    List<RequestHistory> requests = new Measures(outcome.evidence(), start).requests();
     String pictures =
         picture("Latency", "milliseconds", TimeSeries.latency(requests, start))
             + picture(
--- /dev/null
+++ b/weirbench/src/test/java/org/corianderweir/bench/scenario/FleetSmokeTest.java
@@ -0,0 +1,200 @@
+package org.corianderweir.bench.scenario;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.corianderweir.bench.deployment.DeploymentFiles;
+import org.corianderweir.bench.deployment.DeploymentLayout;
+import org.corianderweir.bench.load.ArrivalSchedule;
+import org.corianderweir.bench.load.CallJournal;
+import org.corianderweir.bench.load.CallRecord;
+import org.corianderweir.bench.load.CallerKeys;
+import org.corianderweir.bench.load.CallerZones;
+import org.corianderweir.bench.load.LoadPlan;
+import org.corianderweir.bench.load.LoadRun;
+import org.corianderweir.bench.load.RequestSender;
+import org.corianderweir.bench.observer.Evidence;
+import org.corianderweir.bench.observer.ExecutionChecks;
+import org.corianderweir.bench.observer.Incident;
+import org.corianderweir.bench.observer.KeyChecks;
+import org.corianderweir.bench.observer.LeavingChecks;
+import org.corianderweir.bench.observer.RateCheck;
+import org.corianderweir.bench.observer.Verdict;
+import org.corianderweir.bench.process.Fleet;
+import org.corianderweir.model.topology.EntryInstance;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/**
+ * A platform, a process of backend servers and three entry instances serve callers through relays.
+ * Only promises whose verdict does not hang on the speed of the machine are judged.
+ */
+public final class FleetSmokeTest {
+  private static final long SEED = 20_261;
+  private static final Duration LOAD_TIME = Duration.ofSeconds(2);
+  private static final Duration HANG_GUARD = Duration.ofSeconds(60);
+  private static final double LIGHT_LOAD = 0.15;
+  private static final double FLOOD_FACTOR = 20;
+
+  private final IncidentLog incidents = new IncidentLog();
+  private final CallerKeys keys = new CallerKeys();
+  private DeploymentLayout layout;
+  private Fleet fleet;
+  private Operators operators;
+
+  @BeforeClass
+  void startFleet() throws IOException {
+    layout =
+        new DeploymentLayout(
+            DeploymentFiles.read("huron").firstZones(3).limitedTo(1, 3), freePort());
+    Fleet.Options options =
+        new Fleet.Options(
+            Files.createTempDirectory("corianderweir-smoke"), true, false, Duration.ZERO);
+    fleet = new Fleet(layout, options);
+    fleet.start();
+    operators = new Operators(fleet, incidents);
+    new FleetSetup(fleet, operators).run(keys);
+  }
+
+  @AfterClass(alwaysRun = true)
+  void stopFleet() {
+    if (fleet != null) {
+      fleet.close();
+    }
+  }
+
+  @Test
+  public void servesKeyedAndOpenRoutes() {
+    Evidence evidence = sendThroughTheFleet(SEED);
+    Set<Boolean> answeredWithKey =
+        evidence.calls().stream()
+            .filter(call -> call.outcome() == CallRecord.Outcome.ANSWERED)
+            .map(call -> !call.organisation().isEmpty())
+            .collect(Collectors.toSet());
+    assertEquals(answeredWithKey, Set.of(true, false), "seed " + SEED);
+    assertEquals(brokenPromises(evidence), List.of(), "seed " + SEED);
+  }
+
+  @Test(dependsOnMethods = "servesKeyedAndOpenRoutes")
+  public void aWithdrawnKeyIsRefusedOnceItIsInForce() {
+    String organisation = layout.deployment().organisations().getFirst().name();
+    operators.withdrawKey(FleetSetup.keyIdentifier(organisation));
+    awaitInForce();
+    Evidence evidence = sendThroughTheFleet(SEED + 1);
+    Set<String> outcomes =
+        evidence.calls().stream()
+            .filter(call -> call.organisation().equals(organisation))
+            .map(CallRecord::refusal)
+            .collect(Collectors.toSet());
+    assertEquals(outcomes, Set.of("key-rejected"), "seed " + (SEED + 1));
+  }
+
+  @Test(dependsOnMethods = "aWithdrawnKeyIsRefusedOnceItIsInForce")
+  public void aPlannedStopCutsNoRequest() {
+    EntryInstance leaving = layout.entryInstances().getLast();
+    CallJournal calls = new CallJournal();
+    try (CallerZones callers = CallerZones.steered(layout, SEED + 2, keys, calls)) {
+      LoadRun load = load(callers, SEED + 2, List.of());
+      load.start();
+      stop(leaving);
+      assertEquals(load.awaitEnd(HANG_GUARD), true, "the load ended");
+    }
+    Verdict verdict = LeavingChecks.plannedStopsCutNothing(evidence(calls));
+    assertEquals(verdict, Verdict.of(verdict.promise(), 1, List.of()), "seed " + (SEED + 2));
+  }
+
+  @Test(dependsOnMethods = "aPlannedStopCutsNoRequest")
+  public void callersThatGoAroundTheFleetBreakTheRate() {
+    CallJournal calls = new CallJournal();
+    String flooding = layout.deployment().organisations().getLast().name();
+    LoadPlan.Surge flood = new LoadPlan.Surge(flooding, Duration.ZERO, LOAD_TIME, FLOOD_FACTOR);
+    try (CallerZones callers =
+        CallerZones.direct(layout, fleet.advertisedServers(), SEED + 3, calls)) {
+      LoadRun load = load(callers, SEED + 3, List.of(flood));
+      load.start();
+      assertEquals(load.awaitEnd(HANG_GUARD), true, "the load ended");
+    }
+    assertEquals(new RateCheck().check(evidence(calls)).kept(), false, "seed " + (SEED + 3));
+  }
+
+  private Evidence sendThroughTheFleet(long seed) {
+    CallJournal calls = new CallJournal();
+    try (CallerZones callers = CallerZones.steered(layout, seed, keys, calls)) {
+      LoadRun load = load(callers, seed, List.of());
+      load.start();
+      assertEquals(load.awaitEnd(HANG_GUARD), true, "the load ended");
+    }
+    return evidence(calls);
+  }
+
+  private LoadRun load(RequestSender callers, long seed, List<LoadPlan.Surge> surges) {
+    LoadPlan plan = new LoadPlan(seed, LOAD_TIME, LIGHT_LOAD, surges, Optional.empty());
+    return new LoadRun(ArrivalSchedule.draw(layout.deployment(), plan), callers, System.nanoTime());
+  }
+
+  private Evidence evidence(CallJournal calls) {
+    return new Evidence(
+        layout.deployment(),
+        layout.backendServers(),
+        calls.records(),
+        fleet.journal(),
+        List.of(),
+        fleet.rules().meter().samples(),
+        incidents.incidents());
+  }
+
+  private static List<String> brokenPromises(Evidence evidence) {
+    return List.of(
+            new RateCheck().check(evidence),
+            KeyChecks.keysStayHidden(evidence),
+            KeyChecks.rightOrganisation(evidence),
+            KeyChecks.keyedRoutesNeedKeys(evidence),
+            ExecutionChecks.runsAtMostOnce(evidence),
+            ExecutionChecks.notRunIsTrue(evidence),
+            ExecutionChecks.rightAnswer(evidence),
+            ExecutionChecks.answersComeFromRuns(evidence))
+        .stream()
+        .filter(verdict -> !verdict.kept())
+        .map(Verdict::toString)
+        .toList();
+  }
+
+  private void stop(EntryInstance leaving) {
+    Process process = fleet.processes().get(leaving.name());
+    long requested = System.nanoTime();
+    process.destroy();
+    FleetSetup.await("the stopped instance has ended", () -> !process.isAlive());
+    incidents.add(
+        new Incident.InstanceStopped(
+            leaving.name(), requested, System.nanoTime(), process.exitValue()));
+  }
+
+  private void awaitInForce() {
+    long highest =
+        incidents.incidents().stream()
+            .filter(Incident.RevisionAccepted.class::isInstance)
+            .mapToLong(each -> ((Incident.RevisionAccepted) each).revision())
+            .max()
+            .orElseThrow();
+    FleetSetup.await(
+        "revision " + highest + " is in force everywhere",
+        () ->
+            layout.entryInstances().stream()
+                .allMatch(instance -> fleet.client().revision(instance) >= highest));
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      return socket.getLocalPort();
+    }
+  }
+}
--- /dev/null
+++ b/weirbench/src/test/java/org/corianderweir/bench/scenario/package-info.java
@@ -0,0 +1,2 @@
+/** Runs small fleets of real processes. */
+package org.corianderweir.bench.scenario;
