--- a/weirbench/src/main/java/org/corianderweir/bench/observer/Incident.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/observer/Incident.java
@@ -58,6 +58,16 @@
    */
   record RevisionAccepted(long revision, long acceptedNanoseconds) implements Incident {}
 
+  /**
+   * Operators began to shift the traffic of a route.
+   *
+   * @param path path prefix of the route
+   * @param capPerSecond largest share of the traffic that may move in a second
+   * @param acceptedNanoseconds when the change was accepted
+   */
+  record ShiftStarted(String path, double capPerSecond, long acceptedNanoseconds)
+      implements Incident {}
+
   /**
    * The process of a backend server was killed.
    *
--- a/weirbench/src/main/java/org/corianderweir/bench/observer/Observer.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/observer/Observer.java
@@ -6,6 +6,7 @@
 public final class Observer {
   private static final List<Check> CHECKS =
       List.of(
+          new ShiftCheck(),
           new RateCheck(),
           KeyChecks::keysStayHidden,
           KeyChecks::rightOrganisation,
--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/observer/ShiftCheck.java
@@ -0,0 +1,110 @@
+package org.corianderweir.bench.observer;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.corianderweir.bench.backend.JournalEntry;
+import org.corianderweir.bench.deployment.Deployment;
+import org.corianderweir.model.configuration.BackendServer;
+
+/**
+ * A shift of traffic stays under its cap: between two windows, the share of a route's requests that
+ * a region gets changes by no more than the cap allows in the time between the begin of the one and
+ * the end of the other, and four standard deviations of the sample.
+ */
+public final class ShiftCheck implements Check {
+  private static final String PROMISE = "A shift of traffic stays under its cap";
+  private static final Duration WINDOW = Duration.ofSeconds(2);
+  private static final Duration LOOK_BACK = Duration.ofSeconds(4);
+  private static final double DEVIATIONS = 4;
+  private static final int REQUESTS_MINIMUM = 20;
+
+  private record Window(long total, Map<String, Long> byRegion) {
+    double share(String region) {
+      return (double) byRegion.getOrDefault(region, 0L) / total;
+    }
+  }
+
+  @Override
+  public Verdict check(Evidence evidence) {
+    List<String> violations = new ArrayList<>();
+    List<Incident.ShiftStarted> shifts = evidence.incidents(Incident.ShiftStarted.class).toList();
+    for (Incident.ShiftStarted shift : shifts) {
+      TreeMap<Long, Window> windows = windows(evidence, shift);
+      for (String region : regions(evidence)) {
+        violations.addAll(jumps(shift, region, windows));
+      }
+    }
+    return Verdict.of(PROMISE, shifts.size(), violations);
+  }
+
+  private static List<String> jumps(
+      Incident.ShiftStarted shift, String region, TreeMap<Long, Window> windows) {
+    List<String> violations = new ArrayList<>();
+    for (Map.Entry<Long, Window> first : windows.entrySet()) {
+      for (Map.Entry<Long, Window> second : windows.tailMap(first.getKey(), false).entrySet()) {
+        long apart = second.getKey() - first.getKey();
+        double seconds = (apart + 1) * (double) WINDOW.toSeconds();
+        double moved = Math.abs(second.getValue().share(region) - first.getValue().share(region));
+        double allowed =
+            shift.capPerSecond() * seconds + noise(first.getValue(), second.getValue(), region);
+        if (moved > allowed) {
+          violations.add(
+              "%s moved %.3f of %s in %.0f s, allowed %.3f"
+                  .formatted(region, moved, shift.path(), seconds, allowed));
+        }
+      }
+    }
+    return violations;
+  }
+
+  private static double noise(Window first, Window second, String region) {
+    long both =
+        first.byRegion().getOrDefault(region, 0L) + second.byRegion().getOrDefault(region, 0L);
+    double share = (double) both / (first.total() + second.total());
+    double spread = share * (1 - share) * (1.0 / first.total() + 1.0 / second.total());
+    return DEVIATIONS * Math.sqrt(spread);
+  }
+
+  private static TreeMap<Long, Window> windows(Evidence evidence, Incident.ShiftStarted shift) {
+    Map<String, String> regionOfServer = regionOfServer(evidence);
+    long begin = shift.acceptedNanoseconds() - LOOK_BACK.toNanos();
+    TreeMap<Long, Map<String, Long>> counts = new TreeMap<>();
+    for (JournalEntry entry : evidence.journal()) {
+      if (entry.target().startsWith(shift.path()) && entry.beginNanoseconds() >= begin) {
+        long number = (entry.beginNanoseconds() - begin) / WINDOW.toNanos();
+        counts
+            .computeIfAbsent(number, unused -> new HashMap<>())
+            .merge(regionOfServer.getOrDefault(entry.server(), ""), 1L, Long::sum);
+      }
+    }
+    TreeMap<Long, Window> windows = new TreeMap<>();
+    counts.forEach(
+        (number, byRegion) -> {
+          long total = byRegion.values().stream().mapToLong(Long::longValue).sum();
+          if (total >= REQUESTS_MINIMUM) {
+            windows.put(number, new Window(total, byRegion));
+          }
+        });
+    return windows;
+  }
+
+  private static Map<String, String> regionOfServer(Evidence evidence) {
+    Map<String, String> regions =
+        evidence.deployment().zones().stream()
+            .collect(Collectors.toMap(Deployment.Zone::name, Deployment.Zone::region));
+    Map<String, String> found = new HashMap<>();
+    for (BackendServer server : evidence.servers()) {
+      found.put(server.name(), regions.getOrDefault(server.availabilityZone(), ""));
+    }
+    return found;
+  }
+
+  private static List<String> regions(Evidence evidence) {
+    return evidence.deployment().zones().stream().map(Deployment.Zone::region).distinct().toList();
+  }
+}
--- a/weirbench/src/main/java/org/corianderweir/bench/report/ReportWriter.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/report/ReportWriter.java
@@ -98,6 +98,7 @@
           case Incident.InstanceStopped each -> each.requestedNanoseconds();
           case Incident.InstanceExcused each -> each.fromNanoseconds();
           case Incident.ServerFaulty each -> each.fromNanoseconds();
+          case Incident.ShiftStarted each -> each.acceptedNanoseconds();
           case Incident.ServerKilled each -> each.atNanoseconds();
           case Incident.RevisionAccepted each -> each.acceptedNanoseconds();
           case Incident.ActionFailed each -> each.atNanoseconds();
--- a/weirbench/src/main/java/org/corianderweir/bench/scenario/Action.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/scenario/Action.java
@@ -11,7 +11,10 @@
   /** An operator drains a backend server. */
   record DrainServer(int server) implements Action {}
 
-  /** An operator changes the burst of no organisation, so that only the revision moves. */
+  /** An operator shifts most of the first open route's traffic to a zone's region. */
+  record ShiftRoute(int zone) implements Action {}
+
+  /** An operator changes nothing but the revision, through one instance. */
   record TouchConfiguration(int instance) implements Action {}
 
   /** Several operators change the configuration at the same time through different instances. */
--- a/weirbench/src/main/java/org/corianderweir/bench/scenario/ActionRunner.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/scenario/ActionRunner.java
@@ -60,6 +60,7 @@
     switch (action) {
       case Action.WithdrawKey withdraw -> operators.withdrawKey(keyOf(withdraw.organisation()));
       case Action.DrainServer drain -> operators.drain(server(drain.server()).name());
+      case Action.ShiftRoute shift -> operators.shiftOpenRoute(zone(shift.zone()).region());
       case Action.TouchConfiguration touch -> operators.touch(touch.instance());
       case Action.RaceOperators race -> operators.race(race.operators());
       case Action.StopInstance stop -> stop(instance(stop.instance()));
--- a/weirbench/src/main/java/org/corianderweir/bench/scenario/Operators.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/scenario/Operators.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.corianderweir.bench.deployment.Deployment;
 import org.corianderweir.bench.load.CallerKeys;
 import org.corianderweir.bench.observer.Incident;
 import org.corianderweir.bench.process.Fleet;
@@ -16,9 +18,15 @@
   private static final int TRIES = 20;
   private static final long TRY_MILLISECONDS = 250;
 
+  private static final int SHIFT_WEIGHT = 8;
+  private static final int SHIFT_CAP_PERCENT = 4;
+  private static final double PERCENT = 100;
+
   private final Fleet fleet;
   private final IncidentLog incidents;
 
+  private record SelectorText(String text) {}
+
   Operators(Fleet fleet, IncidentLog incidents) {
     this.fleet = fleet;
     this.incidents = incidents;
@@ -55,6 +63,31 @@
         .ifPresent(at -> incidents.add(new Incident.ServerDrained(server, at)));
   }
 
+  /** Shifts most of the traffic of the first open route to a region. */
+  void shiftOpenRoute(String region) {
+    Deployment deployment = fleet.layout().deployment();
+    Deployment.Route route =
+        deployment.routes().stream().filter(Deployment.Route::open).findFirst().orElseThrow();
+    String destinations =
+        deployment.zones().stream()
+            .map(Deployment.Zone::region)
+            .distinct()
+            .map(
+                each ->
+                    "where region = %s weight %d"
+                        .formatted(each, each.equals(region) ? SHIFT_WEIGHT : 1))
+            .collect(Collectors.joining(", "));
+    String text =
+        "route %s path %s to service %s %s cap %d%% per second open"
+            .formatted(
+                route.name(), route.path(), route.service(), destinations, SHIFT_CAP_PERCENT);
+    change(0, "POST", "/selectors/set", Json.write(new SelectorText(text)))
+        .ifPresent(
+            at ->
+                incidents.add(
+                    new Incident.ShiftStarted(route.path(), SHIFT_CAP_PERCENT / PERCENT, at)));
+  }
+
   /** Makes a change that only moves the revision; tries once. */
   void touch(int instanceNumber) {
     tryChange(instanceNumber, "POST", "/undrain?server=" + unusedServer(), "");
--- a/weirbench/src/main/java/org/corianderweir/bench/scenario/Scenarios.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/scenario/Scenarios.java
@@ -67,6 +67,7 @@
     put(scenarios, at(BEGIN, "servers-killed", new Action.KillServers(0)));
     put(scenarios, at(BEGIN, "servers-frozen", new Action.FreezeServers(0, FREEZE_TIME)));
     putServerFaults(scenarios);
+    put(scenarios, at(BEGIN, "shift", new Action.ShiftRoute(0)));
     put(scenarios, at(BEGIN, "drain", new Action.DrainServer(0)));
     put(scenarios, at(LATER, "planned-stop", new Action.StopInstance(LAST_INSTANCE_ZONE)));
     put(scenarios, at(BEGIN, "operators-race", new Action.RaceOperators(4)));
--- a/weirbench/src/test/java/org/corianderweir/bench/observer/EvidenceFixture.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/observer/EvidenceFixture.java
@@ -84,6 +84,21 @@
     return entry(request, ORGANISATION, false, JournalEntry.Outcome.ANSWERED, begin, end);
   }
 
+  EvidenceFixture ranElsewhere(String request, long begin) {
+    journal.add(
+        new JournalEntry(
+            "elsewhere",
+            request,
+            ORGANISATION,
+            "POST",
+            "/bookings",
+            false,
+            JournalEntry.Outcome.ANSWERED,
+            nanoseconds(begin),
+            nanoseconds(begin + 50)));
+    return this;
+  }
+
   EvidenceFixture shed(String request, long at) {
     return entry(request, ORGANISATION, false, JournalEntry.Outcome.SHED, at, 0);
   }
--- a/weirbench/src/test/java/org/corianderweir/bench/observer/ObserverTest.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/observer/ObserverTest.java
@@ -21,6 +21,12 @@
   @DataProvider
   Object[][] brokenPromises() {
     return new Object[][] {
+      {
+        "all of a route's traffic in two seconds",
+        jump(),
+        "A shift of traffic stays under its cap",
+        "erie moved 1.000 of /bookings in 4 s, allowed 0.600"
+      },
       {
         "one more than rate and burst in 100 ms",
         burst(5),
@@ -158,6 +164,18 @@
     return EvidenceFixture.sound();
   }
 
+  /** Fifty requests for a server elsewhere, then fifty for the server in erie. */
+  private static EvidenceFixture jump() {
+    EvidenceFixture evidence =
+        new EvidenceFixture()
+            .incident(
+                new Incident.ShiftStarted("/bookings", 0.05, EvidenceFixture.nanoseconds(4_000)));
+    for (int number = 0; number < 50; number++) {
+      evidence.ranElsewhere("e" + number, 100 + number).ran("h" + number, 2_100 + number, 2_200);
+    }
+    return evidence;
+  }
+
   private static EvidenceFixture burst(int count) {
     EvidenceFixture evidence = new EvidenceFixture();
     for (int number = 0; number < count; number++) {
