weirctl with a class per command; operators' interface with typed operations

Cause: the tool passed words through, had no exit statuses and tried one instance only; the service held all operations in one class. Each operation is one value with its request and answer types, used by both sides. Changes carry the expected revision and can be tried without being applied. Ruled out: repeating a change at the next instance after bytes were sent (it could apply twice).

--- /dev/null
+++ b/weirctl/src/main/java/org/corianderweir/ctl/Command.java
@@ -0,0 +1,7 @@
+package org.corianderweir.ctl;
+
+/** A command of {@code weirctl}. */
+public interface Command {
+  /** Does what the command says. */
+  Result run(Session session);
+}
--- /dev/null
+++ b/weirctl/src/main/java/org/corianderweir/ctl/ConnectionOptions.java
@@ -0,0 +1,131 @@
+package org.corianderweir.ctl;
+
+import com.beust.jcommander.Parameter;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.corianderweir.http.HttpAddress;
+
+/** The options that all commands share; they may stand before or after the command. */
+public final class ConnectionOptions {
+  /** Environment variable with the addresses of entry instances. */
+  public static final String INSTANCES_VARIABLE = "WEIR_INSTANCES";
+
+  /** Environment variable with the operators' credential. */
+  public static final String CREDENTIAL_VARIABLE = "WEIR_OPERATOR_CREDENTIAL";
+
+  private static final int PORT_MAXIMUM = 65_535;
+
+  @Parameter(
+      names = {"--instances", "--instance"},
+      description =
+          "HOST:PORT,... of operators' interfaces; the next one is tried when one is down"
+              + " (or environment WEIR_INSTANCES)")
+  private String instances = "";
+
+  @Parameter(
+      names = "--credential-file",
+      description = "file with the operators' credential (or environment WEIR_OPERATOR_CREDENTIAL)")
+  private String credentialFile = "";
+
+  @Parameter(
+      names = "--credential",
+      description = "the credential itself; other users of the machine can see it")
+  private String credential = "";
+
+  @Parameter(names = "--format", description = "text or json")
+  private OutputFormat format = OutputFormat.TEXT;
+
+  @Parameter(
+      names = "--expected-revision",
+      description = "revision that a change is based on; default: the one in force")
+  private long expectedRevision = -1;
+
+  @Parameter(names = "--dry-run", description = "say what a change would do, don't apply it")
+  private boolean dryRun;
+
+  @Parameter(names = "--timeout-seconds", description = "longest wait for an entry instance")
+  private int timeoutSeconds = 5;
+
+  @Parameter(names = "--help", description = "show help for the command", help = true)
+  private boolean help;
+
+  /** Returns how results are printed. */
+  public OutputFormat format() {
+    return format;
+  }
+
+  /** Returns the revision that a change is based on, or a negative number. */
+  public long expectedRevision() {
+    return expectedRevision;
+  }
+
+  /** Returns whether changes are only tried. */
+  public boolean dryRun() {
+    return dryRun;
+  }
+
+  /** Returns whether help is wanted. */
+  public boolean help() {
+    return help;
+  }
+
+  /** Returns the longest wait for an entry instance. */
+  public Duration timeout() {
+    return Duration.ofSeconds(timeoutSeconds);
+  }
+
+  /** Returns the addresses of the operators' interfaces, at least one. */
+  public List<HttpAddress> addresses(Map<String, String> environment) {
+    String text =
+        instances.isEmpty() ? environment.getOrDefault(INSTANCES_VARIABLE, "") : instances;
+    if (text.isBlank()) {
+      throw usage("no entry instance is named", "give --instances HOST:PORT,...");
+    }
+    List<HttpAddress> addresses = new ArrayList<>();
+    for (String part : text.split(",")) {
+      addresses.add(address(part.strip()));
+    }
+    return addresses;
+  }
+
+  /** Returns the operators' credential. */
+  public String credential(Map<String, String> environment) {
+    if (!credential.isEmpty()) {
+      return credential;
+    }
+    if (!credentialFile.isEmpty()) {
+      try {
+        return Files.readString(Path.of(credentialFile)).strip();
+      } catch (IOException failure) {
+        throw usage("can't read " + credentialFile, "give a readable --credential-file");
+      }
+    }
+    String variable = environment.getOrDefault(CREDENTIAL_VARIABLE, "");
+    if (variable.isEmpty()) {
+      throw usage("no credential", "give --credential-file FILE or set " + CREDENTIAL_VARIABLE);
+    }
+    return variable;
+  }
+
+  private static HttpAddress address(String text) {
+    int colon = text.lastIndexOf(':');
+    try {
+      int port = Integer.parseInt(text.substring(colon + 1));
+      if (colon > 0 && port > 0 && port <= PORT_MAXIMUM) {
+        return new HttpAddress(text.substring(0, colon), port);
+      }
+    } catch (NumberFormatException notNumeric) {
+      // Reported below together with ports out of range.
+    }
+    throw usage("read '" + text + "' as an instance", "write HOST:PORT with a port of 1 to 65535");
+  }
+
+  private static CommandException usage(String message, String nextStep) {
+    return new CommandException(ExitStatus.USAGE, "usage", message, nextStep);
+  }
+}
--- /dev/null
+++ b/weirctl/src/main/java/org/corianderweir/ctl/DryRunCommand.java
@@ -0,0 +1,18 @@
+package org.corianderweir.ctl;
+
+import com.beust.jcommander.Parameters;
+
+/** Stands for {@code dry-run} in the help; the command line takes the word as an option. */
+@Parameters(
+    commandDescription =
+        "say what the command that follows would do, e.g. 'dry-run drain server-1'")
+final class DryRunCommand implements Command {
+  @Override
+  public Result run(Session session) {
+    throw new CommandException(
+        ExitStatus.USAGE,
+        "usage",
+        "dry-run needs a command that makes a change",
+        "write for example 'weirctl dry-run drain server-1'");
+  }
+}
--- /dev/null
+++ b/weirctl/src/main/java/org/corianderweir/ctl/DryRunPrinter.java
@@ -0,0 +1,57 @@
+package org.corianderweir.ctl;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.corianderweir.logic.steering.explain.DryRunReport;
+
+/** Prints what a change would do. */
+public final class DryRunPrinter {
+  private static final double PERCENT = 100;
+
+  private DryRunPrinter() {}
+
+  /** Returns the report in both formats. */
+  public static Result print(DryRunReport report) {
+    List<String> lines = new ArrayList<>();
+    lines.add("tried on revision " + report.revision() + "; nothing was applied");
+    if (report.shifts().isEmpty()) {
+      lines.add("no traffic would move");
+    }
+    for (DryRunReport.PlannedShift shift : report.shifts()) {
+      lines.add("");
+      lines.add(
+          String.format(
+              Locale.ROOT,
+              "selector %s: %s of the traffic moves, at most %s a second, complete after %.1f s",
+              shift.selector(),
+              percent(shift.movedShare()),
+              percent(shift.capPerSecond()),
+              shift.secondsUntilComplete()));
+      TextTable table = new TextTable("CALLERS IN", "REGION", "ZONE", "BEFORE", "AFTER", "SLOTS");
+      shift
+          .zones()
+          .forEach(
+              zone ->
+                  table.add(
+                      zone.callerRegion(),
+                      zone.region(),
+                      zone.availabilityZone(),
+                      percent(zone.before()),
+                      percent(zone.after()),
+                      zone.slotsAfter()));
+      lines.addAll(table.lines());
+    }
+    if (!report.problems().isEmpty()) {
+      lines.add("");
+      lines.add("problems:");
+      report.problems().forEach(problem -> lines.add("  " + problem));
+    }
+    return new Result(report, lines);
+  }
+
+  /** Returns a share as a percentage with one decimal. */
+  public static String percent(double share) {
+    return String.format(Locale.ROOT, "%.1f%%", share * PERCENT);
+  }
+}
--- /dev/null
+++ b/weirctl/src/main/java/org/corianderweir/ctl/Session.java
@@ -0,0 +1,53 @@
+package org.corianderweir.ctl;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.corianderweir.logic.steering.explain.DryRunReport;
+import org.corianderweir.protocol.OperatorMessages;
+import org.corianderweir.protocol.operator.Operation;
+import org.corianderweir.protocol.operator.Operations;
+
+/**
+ * What a command works with.
+ *
+ * @param client client of the operators' interface
+ * @param options options of the command line
+ */
+public record Session(OperatorClient client, ConnectionOptions options) {
+  /** Asks for something that needs no request. */
+  public <A> A read(Operation<Operation.NoRequest, A> operation) {
+    return client.read(operation, new Operation.NoRequest());
+  }
+
+  /** Makes a change, or tries it if the command line says so, and returns what came of it. */
+  public <Q> Result change(Operation<Q, OperatorMessages.Accepted> operation, Q request) {
+    return change(operation, request, options.expectedRevision(), Map.of());
+  }
+
+  /**
+   * Makes a change, or tries it if the command line says so.
+   *
+   * @param expectedRevision revision that the change is based on; the one in force if negative
+   * @param further further options of the change
+   */
+  public <Q> Result change(
+      Operation<Q, OperatorMessages.Accepted> operation,
+      Q request,
+      long expectedRevision,
+      Map<String, String> further) {
+    Map<String, String> parameters = new LinkedHashMap<>();
+    parameters.put(Operation.EXPECTED_REVISION, Long.toString(revision(expectedRevision)));
+    parameters.putAll(further);
+    if (options.dryRun()) {
+      parameters.put(Operation.DRY_RUN, "true");
+      return DryRunPrinter.print(client.tryOut(operation, request, parameters, DryRunReport.class));
+    }
+    OperatorMessages.Accepted accepted = client.write(operation, request, parameters);
+    return Result.line(accepted, "accepted as revision " + accepted.revision());
+  }
+
+  /** Returns the given revision, or the one in force if it is negative. */
+  public long revision(long wanted) {
+    return wanted >= 0 ? wanted : read(Operations.STATUS).revision();
+  }
+}
--- /dev/null
+++ b/weirctl/src/main/java/org/corianderweir/ctl/command/ConfigurationCommands.java
@@ -0,0 +1,133 @@
+package org.corianderweir.ctl.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.corianderweir.ctl.Command;
+import org.corianderweir.ctl.Result;
+import org.corianderweir.ctl.Session;
+import org.corianderweir.ctl.TextTable;
+import org.corianderweir.model.WeirException;
+import org.corianderweir.model.configuration.Configuration;
+import org.corianderweir.protocol.Json;
+import org.corianderweir.protocol.operator.ConfigurationMessages;
+import org.corianderweir.protocol.operator.Operation;
+import org.corianderweir.protocol.operator.Operations;
+
+/** Commands about the whole configuration. */
+@Parameters(commandDescription = "config: show, history, diff, apply")
+public final class ConfigurationCommands {
+  /** Shows the configuration in force. */
+  @Parameters(commandDescription = "show the configuration in force, without keys")
+  public static final class ShowCommand implements Command {
+    @Override
+    public Result run(Session session) {
+      Configuration shown = withoutKeys(session.read(Operations.CONFIGURATION));
+      return Result.line(shown, Json.writeIndented(shown));
+    }
+  }
+
+  /** Lists the latest revisions. */
+  @Parameters(commandDescription = "list the revisions that the entry instance remembers")
+  public static final class HistoryCommand implements Command {
+    @Override
+    public Result run(Session session) {
+      ConfigurationMessages.History history = session.read(Operations.HISTORY);
+      TextTable table = new TextTable("REVISION", "IN FORCE SINCE", "CHANGE");
+      for (ConfigurationMessages.RevisionEntry entry : history.revisions()) {
+        table.add(
+            entry.revision(), Instant.ofEpochMilli(entry.inForceMilliseconds()), entry.operation());
+      }
+      return new Result(history, table.lines());
+    }
+  }
+
+  /** Shows what differs between two revisions or from a file. */
+  @Parameters(commandDescription = "show what differs: diff FROM [TO], or diff --file FILE")
+  public static final class DiffCommand implements Command {
+    @Parameter(description = "FROM [TO], revisions; TO is the one in force if left out")
+    private List<String> revisions = new ArrayList<>();
+
+    @Parameter(names = "--file", description = "compare the one in force with a file")
+    private String file = "";
+
+    /**
+     * What differs.
+     *
+     * @param differences one line each
+     */
+    public record Differences(List<String> differences) {}
+
+    @Override
+    public Result run(Session session) {
+      List<String> differences = differences(session);
+      List<String> lines = differences.isEmpty() ? List.of("nothing differs") : differences;
+      return new Result(new Differences(differences), lines);
+    }
+
+    private List<String> differences(Session session) {
+      Configuration inForce = session.read(Operations.CONFIGURATION);
+      if (!file.isEmpty()) {
+        return ConfigurationDifference.lines(withoutKeys(inForce), withoutKeys(readFile(file)));
+      }
+      if (revisions.isEmpty() || revisions.size() > 2) {
+        throw Words.usage(
+            "read " + revisions.size() + " revisions", "write FROM, FROM TO or --file FILE");
+      }
+      Configuration from = revision(session, revisions.getFirst());
+      Configuration to = revisions.size() == 2 ? revision(session, revisions.get(1)) : inForce;
+      return ConfigurationDifference.lines(from, to);
+    }
+
+    private static Configuration revision(Session session, String text) {
+      try {
+        return session
+            .client()
+            .read(
+                Operations.REVISION,
+                new ConfigurationMessages.RevisionRequest(Long.parseLong(text)));
+      } catch (NumberFormatException notNumeric) {
+        throw Words.usage("read '" + text + "' as a revision", "write a whole number");
+      }
+    }
+  }
+
+  /** Replaces the configuration with a file. */
+  @Parameters(
+      commandDescription =
+          "replace everything but the keys with a file; based on --expected-revision,"
+              + " or on the revision that the file names")
+  public static final class ApplyCommand implements Command {
+    @Parameter(description = "FILE in the form of 'config show'", required = true)
+    private String file = "";
+
+    @Override
+    public Result run(Session session) {
+      Configuration content = readFile(file);
+      long wanted = session.options().expectedRevision();
+      long expected = wanted >= 0 ? wanted : content.revision();
+      return session.change(
+          Operations.REPLACE_CONFIGURATION, content, expected, Map.of(Operation.KEEP_KEYS, "true"));
+    }
+  }
+
+  private static Configuration withoutKeys(Configuration configuration) {
+    return configuration.toBuilder().keys(List.of()).build();
+  }
+
+  private static Configuration readFile(String file) {
+    try {
+      return Json.read(Files.readString(Path.of(file)), Configuration.class);
+    } catch (IOException failure) {
+      throw Words.usage("can't read " + file, "name a readable file");
+    } catch (WeirException failure) {
+      throw Words.usage(file + ": " + failure.getMessage(), "start from 'weirctl config show'");
+    }
+  }
+}
--- /dev/null
+++ b/weirctl/src/main/java/org/corianderweir/ctl/command/DrainCommands.java
@@ -0,0 +1,54 @@
+package org.corianderweir.ctl.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import org.corianderweir.ctl.Command;
+import org.corianderweir.ctl.Result;
+import org.corianderweir.ctl.Session;
+import org.corianderweir.ctl.TextTable;
+import org.corianderweir.protocol.operator.DrainMessages;
+import org.corianderweir.protocol.operator.Operations;
+
+/** Commands about the drain of backend servers. */
+public final class DrainCommands {
+  private DrainCommands() {}
+
+  /** Starts the drain of a backend server. */
+  @Parameters(commandDescription = "give a backend server no new requests")
+  public static final class DrainCommand implements Command {
+    @Parameter(description = "NAME of the backend server", required = true)
+    private String server = "";
+
+    @Override
+    public Result run(Session session) {
+      return session.change(Operations.DRAIN, new DrainMessages.ServerName(server));
+    }
+  }
+
+  /** Ends the drain of a backend server. */
+  @Parameters(commandDescription = "give a drained backend server requests again")
+  public static final class UndrainCommand implements Command {
+    @Parameter(description = "NAME of the backend server", required = true)
+    private String server = "";
+
+    @Override
+    public Result run(Session session) {
+      return session.change(Operations.UNDRAIN, new DrainMessages.ServerName(server));
+    }
+  }
+
+  /** Lists the drained backend servers. */
+  @Parameters(commandDescription = "list the backend servers that are drained")
+  public static final class ListCommand implements Command {
+    @Override
+    public Result run(Session session) {
+      DrainMessages.Drains drains = session.read(Operations.DRAINS);
+      TextTable table = new TextTable("SERVER", "SERVICE", "ZONE");
+      drains
+          .servers()
+          .forEach(
+              server -> table.add(server.server(), server.service(), server.availabilityZone()));
+      return new Result(drains, table.lines());
+    }
+  }
+}
--- /dev/null
+++ b/weirctl/src/main/java/org/corianderweir/ctl/command/TimelineCommand.java
@@ -0,0 +1,103 @@
+package org.corianderweir.ctl.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.corianderweir.ctl.Command;
+import org.corianderweir.ctl.CommandException;
+import org.corianderweir.ctl.Result;
+import org.corianderweir.ctl.Session;
+import org.corianderweir.logic.membership.Member;
+import org.corianderweir.model.timeline.TimelineEvent;
+import org.corianderweir.model.topology.EntryInstance;
+import org.corianderweir.protocol.operator.Operation;
+import org.corianderweir.protocol.operator.Operations;
+
+/** Merges the latest events of all entry instances in their causal order. */
+@Parameters(commandDescription = "show the latest events of all entry instances in order")
+public final class TimelineCommand implements Command {
+  @Parameter(names = "--request", description = "only events of this request identifier")
+  private String request = "";
+
+  @Parameter(names = "--organisation", description = "only events of this organisation")
+  private String organisation = "";
+
+  @Parameter(names = "--backend-server", description = "only events of this backend server")
+  private String backendServer = "";
+
+  @Parameter(names = "--revision", description = "only events of this configuration revision")
+  private String revision = "";
+
+  /**
+   * The merged time line.
+   *
+   * @param events the events, oldest first
+   * @param unreachable entry instances whose events are missing
+   */
+  public record MergedTimeline(List<TimelineEvent> events, List<String> unreachable) {}
+
+  @Override
+  public Result run(Session session) {
+    List<TimelineEvent> events = new ArrayList<>();
+    List<String> unreachable = new ArrayList<>();
+    for (Member member : session.read(Operations.INSTANCES).members()) {
+      EntryInstance instance = member.instance();
+      try {
+        events.addAll(
+            session
+                .client()
+                .only(InstanceCommands.operatorAddress(instance))
+                .read(Operations.TIMELINE, new Operation.NoRequest())
+                .events());
+      } catch (CommandException noAnswer) {
+        unreachable.add(instance.name());
+      }
+    }
+    List<TimelineEvent> chosen =
+        events.stream()
+            .filter(this::wanted)
+            .sorted(
+                Comparator.comparing(TimelineEvent::timestamp)
+                    .thenComparing(TimelineEvent::process))
+            .toList();
+    List<String> lines = new ArrayList<>(chosen.stream().map(TimelineCommand::line).toList());
+    if (!unreachable.isEmpty()) {
+      lines.add("missing, no answer: " + String.join(", ", unreachable));
+    }
+    return new Result(new MergedTimeline(chosen, unreachable), lines);
+  }
+
+  private boolean wanted(TimelineEvent event) {
+    return (request.isEmpty() || event.subject().equals(request))
+        && matches(event, "organisation", organisation)
+        && matches(event, "server", backendServer)
+        && matches(event, "revision", revision);
+  }
+
+  private static boolean matches(TimelineEvent event, String field, String value) {
+    if (value.isEmpty() || event.subject().equals(value)) {
+      return true;
+    }
+    if (event.subject().equals(field + "-" + value)) {
+      return true;
+    }
+    return List.of(event.detail().split("[ ,;]+")).contains(field + "=" + value);
+  }
+
+  private static String line(TimelineEvent event) {
+    return String.join(
+            " ",
+            Instant.ofEpochMilli(event.timestamp().wallMilliseconds())
+                + "."
+                + event.timestamp().counter(),
+            event.process(),
+            String.format("WEIR-%04d", event.code().number()),
+            event.code().title() + ":",
+            event.subject(),
+            event.detail())
+        .stripTrailing();
+  }
+}
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -8,6 +8,7 @@
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.daemon.control.LimitService;
 import org.corianderweir.daemon.control.MembershipService;
+import org.corianderweir.daemon.operator.OperatorContext;
 import org.corianderweir.daemon.operator.OperatorService;
 import org.corianderweir.daemon.peer.PeerTransport;
 import org.corianderweir.daemon.platform.HttpPlatformService;
@@ -66,7 +67,15 @@
             settings, configuration, membership, limits, steering, events, metrics, time);
     OperatorService operators =
         new OperatorService(
-            settings, configuration, membership, events, metrics, stopRequested::countDown);
+            new OperatorContext(
+                settings,
+                configuration,
+                membership,
+                steering,
+                events,
+                metrics,
+                time,
+                stopRequested::countDown));
     kernel
         .register(EventLog.NAME, events)
         .register(ControlService.NAME, control)
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/ConfigurationWriter.java
@@ -0,0 +1,58 @@
+package org.corianderweir.daemon.operator;
+
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import org.corianderweir.daemon.control.ConfigurationService;
+import org.corianderweir.logic.configuration.ConfigurationChange;
+import org.corianderweir.logic.configuration.ConfigurationEditor;
+import org.corianderweir.logic.steering.explain.DryRun;
+import org.corianderweir.logic.steering.explain.DryRunReport;
+import org.corianderweir.model.ErrorCode;
+import org.corianderweir.model.WeirException;
+import org.corianderweir.model.configuration.Configuration;
+
+/** Applies operators' changes, or says what they would do. */
+final class ConfigurationWriter {
+  private static final String DRY_RUN_OPERATION = "dry-run";
+
+  private final OperatorContext context;
+  private final ConfigurationService configuration;
+
+  ConfigurationWriter(OperatorContext context) {
+    this.context = context;
+    this.configuration = context.configuration();
+  }
+
+  /** Makes a change of the configuration that is in force. */
+  interface ChangeMaker<Q> {
+    ConfigurationChange make(
+        Q request, Configuration current, long wallMilliseconds, WriteOptions options);
+  }
+
+  <Q> ConfigurationChange change(ChangeMaker<Q> maker, Q request, WriteOptions options) {
+    Configuration current = configuration.inForce();
+    ConfigurationChange change =
+        maker.make(request, current, context.time().wallMilliseconds(), options);
+    long expected = options.expectedRevision().orElse(current.revision());
+    if (change instanceof ConfigurationChange.Replace && expected != current.revision()) {
+      throw new WeirException(
+          ErrorCode.REVISION_CONFLICT,
+          "the change is based on revision %d; revision %d by %s is in force here"
+              .formatted(expected, current.revision(), current.operation()));
+    }
+    return change;
+  }
+
+  CompletableFuture<Configuration> apply(ConfigurationChange change, WriteOptions options) {
+    long expected = options.expectedRevision().orElse(configuration.inForce().revision());
+    String operation = context.settings().instance().name() + "/" + UUID.randomUUID();
+    return configuration.change(expected, change, operation);
+  }
+
+  DryRunReport report(ConfigurationChange change) {
+    Configuration current = configuration.inForce();
+    Configuration changed = ConfigurationEditor.apply(current, change, DRY_RUN_OPERATION);
+    return DryRun.report(
+        current, changed, context.steering().servers(), context.time().wallMilliseconds());
+  }
+}
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/KeyOperations.java
@@ -0,0 +1,65 @@
+package org.corianderweir.daemon.operator;
+
+import java.security.SecureRandom;
+import java.util.concurrent.CompletableFuture;
+import org.corianderweir.logic.configuration.ConfigurationChange;
+import org.corianderweir.logic.keys.KeyHasher;
+import org.corianderweir.model.ErrorCode;
+import org.corianderweir.model.WeirException;
+import org.corianderweir.model.configuration.Configuration;
+import org.corianderweir.protocol.OperatorMessages;
+import org.corianderweir.protocol.operator.KeyMessages;
+import org.corianderweir.protocol.operator.Operations;
+
+/** Operations on keys. Secrets and hashes leave this process only in the answer to an issue. */
+final class KeyOperations {
+  private final OperatorContext context;
+  private final ConfigurationWriter writer;
+  private final SecureRandom random = new SecureRandom();
+
+  KeyOperations(OperatorContext context, ConfigurationWriter writer) {
+    this.context = context;
+    this.writer = writer;
+  }
+
+  void register(RouteTable routes) {
+    routes.read(Operations.KEYS, none -> keys());
+    routes.write(Operations.ISSUE_KEY, this::issue);
+    routes.change(
+        Operations.WITHDRAW_KEY,
+        (request, current, wall, options) ->
+            new ConfigurationChange.WithdrawKey(request.identifier()));
+  }
+
+  private KeyMessages.Keys keys() {
+    return new KeyMessages.Keys(
+        context.configuration().inForce().keys().stream()
+            .map(key -> new KeyMessages.KeyView(key.identifier(), key.organisation()))
+            .toList());
+  }
+
+  private CompletableFuture<OperatorMessages.KeyIssued> issue(
+      KeyMessages.IssueKey request, WriteOptions options) {
+    Configuration current = context.configuration().inForce();
+    if (options.dryRun()) {
+      throw invalid("issuing a key moves no traffic; there is nothing to try");
+    }
+    if (current.organisations().stream()
+        .noneMatch(known -> known.name().equals(request.organisation()))) {
+      throw invalid("no organisation " + request.organisation());
+    }
+    if (current.keys().stream().anyMatch(key -> key.identifier().equals(request.identifier()))) {
+      throw invalid("a key " + request.identifier() + " is in force already");
+    }
+    KeyHasher.IssuedKey issued =
+        KeyHasher.issue(request.identifier(), request.organisation(), random);
+    return writer
+        .apply(new ConfigurationChange.AddKey(issued.stored()), options)
+        .thenApply(
+            accepted -> new OperatorMessages.KeyIssued(accepted.revision(), issued.presented()));
+  }
+
+  private static WeirException invalid(String message) {
+    return new WeirException(ErrorCode.CONFIGURATION_INVALID, message);
+  }
+}
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorContext.java
@@ -0,0 +1,31 @@
+package org.corianderweir.daemon.operator;
+
+import com.codahale.metrics.MetricRegistry;
+import org.corianderweir.daemon.control.ConfigurationService;
+import org.corianderweir.daemon.control.EventLog;
+import org.corianderweir.daemon.control.MembershipService;
+import org.corianderweir.daemon.settings.DaemonSettings;
+import org.corianderweir.daemon.steering.SteeringService;
+import org.corianderweir.kernel.TimeSource;
+
+/**
+ * What the operators' operations work on.
+ *
+ * @param settings settings of this entry instance
+ * @param configuration the configuration in force
+ * @param membership entry instances that are alive
+ * @param steering weights in force
+ * @param events the latest events
+ * @param metrics meters
+ * @param time clocks
+ * @param planStop begins a planned stop of the process
+ */
+public record OperatorContext(
+    DaemonSettings settings,
+    ConfigurationService configuration,
+    MembershipService membership,
+    SteeringService steering,
+    EventLog events,
+    MetricRegistry metrics,
+    TimeSource time,
+    Runnable planStop) {}
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorService.java
@@ -1,19 +1,13 @@
 package org.corianderweir.daemon.operator;
 
-import com.codahale.metrics.Meter;
-import com.codahale.metrics.MetricRegistry;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.SecureRandom;
 import java.util.List;
-import java.util.Map;
-import java.util.UUID;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import org.corianderweir.daemon.control.ConfigurationService;
-import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.daemon.control.MembershipService;
-import org.corianderweir.daemon.settings.DaemonSettings;
+import org.corianderweir.daemon.steering.SteeringService;
 import org.corianderweir.http.HttpCall;
 import org.corianderweir.http.HttpListener;
 import org.corianderweir.http.HttpListenerOptions;
@@ -21,13 +15,10 @@
 import org.corianderweir.kernel.Service;
 import org.corianderweir.kernel.ServiceDirectory;
 import org.corianderweir.kernel.ServiceName;
-import org.corianderweir.logic.configuration.ConfigurationChange;
-import org.corianderweir.logic.keys.KeyHasher;
-import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
-import org.corianderweir.model.configuration.Configuration;
 import org.corianderweir.protocol.Json;
 import org.corianderweir.protocol.OperatorMessages;
+import org.corianderweir.protocol.operator.Operation;
 
 /** Listens for operators on an address of its own, with a credential of its own. */
 public final class OperatorService implements Service {
@@ -36,7 +27,7 @@
       new ServiceName<>("operators", OperatorService.class);
 
   /** The header field of the credential. */
-  public static final String CREDENTIAL_HEADER = "Weir-Operator-Credential";
+  public static final String CREDENTIAL_HEADER = Operation.CREDENTIAL_HEADER;
 
   private static final int BODY_LIMIT_BYTES = 1024 * 1024;
   private static final int WORKER_THREADS = 2;
@@ -47,39 +38,30 @@
   private static final int STATUS_CONFLICT = 409;
   private static final int STATUS_UNAVAILABLE = 503;
 
-  private final DaemonSettings settings;
-  private final ConfigurationService configuration;
-  private final MembershipService membership;
-  private final EventLog events;
-  private final MetricRegistry metrics;
-  private final Runnable planStop;
-  private final SecureRandom random = new SecureRandom();
+  private final OperatorContext context;
+  private final RouteTable routes;
+  private final ConfigurationHistory history = new ConfigurationHistory();
   private final HttpListener listener;
 
-  /**
-   * Creates the service; it does not listen yet.
-   *
-   * @param planStop begins a planned stop of the process
-   */
-  public OperatorService(
-      DaemonSettings settings,
-      ConfigurationService configuration,
-      MembershipService membership,
-      EventLog events,
-      MetricRegistry metrics,
-      Runnable planStop) {
-    this.settings = settings;
-    this.configuration = configuration;
-    this.membership = membership;
-    this.events = events;
-    this.metrics = metrics;
-    this.planStop = planStop;
+  /** Creates the service; it does not listen yet. */
+  public OperatorService(OperatorContext context) {
+    this.context = context;
+    ConfigurationWriter writer = new ConfigurationWriter(context);
+    routes = new RouteTable(writer);
+    new InstanceOperations(context).register(routes);
+    new ConfigurationOperations(context, history).register(routes);
+    new LabelOperations(context).register(routes);
+    new SelectorOperations(context, writer).register(routes);
+    new OrganisationOperations(context).register(routes);
+    new KeyOperations(context, writer).register(routes);
+    new DrainOperations(context).register(routes);
+    new ShiftOperations(context).register(routes);
     listener =
         new HttpListener(
             new HttpListenerOptions(
                 "operators",
-                settings.instance().host(),
-                settings.instance().operatorPort(),
+                context.settings().instance().host(),
+                context.settings().instance().operatorPort(),
                 BODY_LIMIT_BYTES,
                 WORKER_THREADS),
             this::handle);
@@ -87,11 +69,14 @@
 
   @Override
   public List<ServiceName<?>> dependencies() {
-    return List.of(MembershipService.NAME);
+    return List.of(MembershipService.NAME, SteeringService.NAME);
   }
 
   @Override
   public void start(ServiceDirectory directory) {
+    context
+        .configuration()
+        .onChange(changed -> history.add(changed, context.time().wallMilliseconds()));
     listener.start();
   }
 
@@ -105,101 +90,25 @@
     boolean known =
         MessageDigest.isEqual(
             shown.getBytes(StandardCharsets.UTF_8),
-            settings.operatorCredential().getBytes(StandardCharsets.UTF_8));
+            context.settings().operatorCredential().getBytes(StandardCharsets.UTF_8));
     if (!known) {
       return done(error(STATUS_UNAUTHORISED, "credential-rejected", "wrong credential"));
     }
+    Optional<RouteTable.Handler> handler = routes.find(call);
+    if (handler.isEmpty()) {
+      return done(error(STATUS_NOT_FOUND, "not-found", "no such operation"));
+    }
     try {
-      return route(call).exceptionally(OperatorService::failureReply);
+      return handler
+          .get()
+          .handle(call)
+          .<HttpReply>thenApply(answer -> HttpReply.json(STATUS_OK, Json.write(answer)))
+          .exceptionally(OperatorService::failureReply);
     } catch (WeirException failure) {
       return done(failureReply(failure));
     }
   }
 
-  private CompletableFuture<HttpReply> route(HttpCall call) {
-    return switch (call.method() + " " + call.path()) {
-      case "GET /status" -> done(json(status()));
-      case "GET /instances" -> done(json(new OperatorMessages.Instances(membership.members())));
-      case "GET /configuration" -> done(json(configuration.inForce()));
-      case "GET /timeline" -> done(json(new OperatorMessages.Timeline(events.events())));
-      case "GET /metrics" -> done(json(meters()));
-      case "PUT /configuration" -> replace(call);
-      case "POST /keys/issue" -> issueKey(call);
-      case "POST /keys/withdraw" ->
-          change(call, new ConfigurationChange.WithdrawKey(call.parameter("identifier", "")));
-      case "POST /drain" ->
-          change(call, new ConfigurationChange.SetDrained(call.parameter("server", ""), true));
-      case "POST /undrain" ->
-          change(call, new ConfigurationChange.SetDrained(call.parameter("server", ""), false));
-      case "POST /stop" -> stopInstance();
-      default -> done(error(STATUS_NOT_FOUND, "not-found", "no such operation"));
-    };
-  }
-
-  private OperatorMessages.Status status() {
-    Configuration current = configuration.inForce();
-    return new OperatorMessages.Status(
-        settings.instance().name(),
-        membership.state(),
-        current.revision(),
-        membership.members().size());
-  }
-
-  private OperatorMessages.Meters meters() {
-    List<OperatorMessages.MeterValue> values =
-        metrics.getMeters().entrySet().stream().map(OperatorService::meterValue).toList();
-    return new OperatorMessages.Meters(values);
-  }
-
-  private static OperatorMessages.MeterValue meterValue(Map.Entry<String, Meter> entry) {
-    return new OperatorMessages.MeterValue(
-        entry.getKey(), entry.getValue().getCount(), entry.getValue().getOneMinuteRate());
-  }
-
-  private CompletableFuture<HttpReply> replace(HttpCall call) {
-    Configuration content = Json.read(call.bodyText(), Configuration.class);
-    return change(call, new ConfigurationChange.Replace(content));
-  }
-
-  private CompletableFuture<HttpReply> issueKey(HttpCall call) {
-    KeyHasher.IssuedKey issued =
-        KeyHasher.issue(
-            call.parameter("identifier", ""), call.parameter("organisation", ""), random);
-    return apply(call, new ConfigurationChange.AddKey(issued.stored()))
-        .thenApply(
-            accepted ->
-                json(new OperatorMessages.KeyIssued(accepted.revision(), issued.presented())));
-  }
-
-  private CompletableFuture<HttpReply> change(HttpCall call, ConfigurationChange change) {
-    return apply(call, change)
-        .thenApply(accepted -> json(new OperatorMessages.Accepted(accepted.revision())));
-  }
-
-  private CompletableFuture<Configuration> apply(HttpCall call, ConfigurationChange change) {
-    long expected = expectedRevision(call);
-    String operation = settings.instance().name() + "/" + UUID.randomUUID();
-    return configuration.change(expected, change, operation);
-  }
-
-  private long expectedRevision(HttpCall call) {
-    String text = call.parameter("expected-revision", "");
-    if (text.isEmpty()) {
-      return configuration.inForce().revision();
-    }
-    try {
-      return Long.parseLong(text);
-    } catch (NumberFormatException notANumber) {
-      throw new WeirException(
-          ErrorCode.CONFIGURATION_INVALID, "expected-revision is not a number: " + text);
-    }
-  }
-
-  private CompletableFuture<HttpReply> stopInstance() {
-    planStop.run();
-    return done(json(new OperatorMessages.Accepted(configuration.inForce().revision())));
-  }
-
   private static HttpReply failureReply(Throwable failure) {
     Throwable cause =
         failure instanceof CompletionException && failure.getCause() != null
@@ -217,10 +126,6 @@
     return error(STATUS_UNAVAILABLE, "internal-error", String.valueOf(cause));
   }
 
-  private static HttpReply json(Object value) {
-    return HttpReply.json(STATUS_OK, Json.write(value));
-  }
-
   private static HttpReply error(int status, String code, String message) {
     return HttpReply.json(status, Json.write(new OperatorMessages.Failure(code, message)));
   }
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/SelectorOperations.java
@@ -0,0 +1,44 @@
+package org.corianderweir.daemon.operator;
+
+import org.corianderweir.logic.configuration.ConfigurationChange;
+import org.corianderweir.logic.configuration.SteeringChange;
+import org.corianderweir.logic.steering.grammar.SelectorFormatter;
+import org.corianderweir.logic.steering.grammar.SelectorParser;
+import org.corianderweir.protocol.operator.Operations;
+import org.corianderweir.protocol.operator.SelectorMessages;
+import org.corianderweir.protocol.operator.SelectorMessages.SelectorView;
+
+/** Operations on selectors. */
+final class SelectorOperations {
+  private final OperatorContext context;
+  private final ConfigurationWriter writer;
+
+  SelectorOperations(OperatorContext context, ConfigurationWriter writer) {
+    this.context = context;
+    this.writer = writer;
+  }
+
+  void register(RouteTable routes) {
+    routes.read(Operations.SELECTORS, none -> selectors());
+    routes.read(
+        Operations.CHECK_SELECTOR,
+        request -> writer.report(set(request.text(), context.time().wallMilliseconds())));
+    routes.change(
+        Operations.SET_SELECTOR, (request, current, wall, options) -> set(request.text(), wall));
+    routes.change(
+        Operations.REMOVE_SELECTOR,
+        (request, current, wall, options) ->
+            new SteeringChange.RemoveSelector(request.selector(), wall));
+  }
+
+  private static ConfigurationChange set(String text, long wallMilliseconds) {
+    return new SteeringChange.SetSelector(SelectorParser.parse(text), wallMilliseconds);
+  }
+
+  private SelectorMessages.Selectors selectors() {
+    return new SelectorMessages.Selectors(
+        context.configuration().inForce().selectors().stream()
+            .map(selector -> new SelectorView(selector.name(), SelectorFormatter.format(selector)))
+            .toList());
+  }
+}
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/ShiftOperations.java
@@ -0,0 +1,81 @@
+package org.corianderweir.daemon.operator;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.corianderweir.logic.configuration.SteeringChange;
+import org.corianderweir.logic.steering.Cell;
+import org.corianderweir.logic.steering.SelectorPlan;
+import org.corianderweir.logic.steering.ShiftState;
+import org.corianderweir.logic.steering.SteeringTable;
+import org.corianderweir.logic.steering.explain.SteeringExplainer;
+import org.corianderweir.logic.steering.grammar.SelectorFormatter;
+import org.corianderweir.model.topology.EntryInstance;
+import org.corianderweir.protocol.operator.Operations;
+import org.corianderweir.protocol.operator.ShiftMessages;
+import org.corianderweir.protocol.operator.ShiftMessages.ShareView;
+
+/** Operations on shifts, and the explanation of a sample request. */
+final class ShiftOperations {
+  private final OperatorContext context;
+
+  ShiftOperations(OperatorContext context) {
+    this.context = context;
+  }
+
+  void register(RouteTable routes) {
+    routes.read(Operations.SHIFTS, none -> shifts());
+    routes.change(
+        Operations.PAUSE_SHIFT,
+        (request, current, wall, options) ->
+            new SteeringChange.PauseShift(request.selector(), wall));
+    routes.change(
+        Operations.RESUME_SHIFT,
+        (request, current, wall, options) ->
+            new SteeringChange.ResumeShift(request.selector(), wall));
+    routes.change(
+        Operations.TURN_BACK_SHIFT,
+        (request, current, wall, options) ->
+            new SteeringChange.TurnBackShift(request.selector(), wall));
+    routes.read(
+        Operations.EXPLAIN, request -> explainer().explain(request.path(), request.organisation()));
+  }
+
+  private SteeringExplainer explainer() {
+    return new SteeringExplainer(
+        context.configuration().inForce(),
+        context.steering().table(),
+        context.steering().servers(),
+        context.time().wallMilliseconds());
+  }
+
+  private ShiftMessages.Shifts shifts() {
+    EntryInstance self = context.settings().instance();
+    long wall = context.time().wallMilliseconds();
+    return new ShiftMessages.Shifts(
+        self.name(),
+        self.region(),
+        context.steering().table().weights().stream().map(each -> shift(each, wall)).toList());
+  }
+
+  private static ShiftMessages.ShiftView shift(SteeringTable.Weights weights, long wall) {
+    SelectorPlan plan = weights.plan();
+    double[] target = plan.settled();
+    List<ShareView> shares = new ArrayList<>();
+    for (int index = 0; index < target.length; index++) {
+      Cell cell = plan.cells().get(index);
+      shares.add(
+          new ShareView(
+              SelectorFormatter.conditions(cell.key().conditions()),
+              cell.region(),
+              cell.key().availabilityZone(),
+              weights.shares()[index],
+              target[index],
+              weights.conditions()[index]));
+    }
+    return new ShiftMessages.ShiftView(
+        plan.selector().name(),
+        ShiftState.of(weights, wall),
+        plan.selector().capPerSecond(),
+        shares);
+  }
+}
--- a/weirlib/src/main/java/org/corianderweir/logic/steering/SelectorPlan.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/steering/SelectorPlan.java
@@ -77,8 +77,17 @@
 
   /** Returns the shares that the cells are to have at a wall time, in the order of the cells. */
   public double[] preferred(long wallMilliseconds) {
+    return spread(ShiftPath.shares(selector, wallMilliseconds));
+  }
+
+  /** Returns the shares that the cells are to have when the shift is complete. */
+  public double[] settled() {
+    return spread(ShiftPath.target(selector));
+  }
+
+  private double[] spread(List<DestinationShare> shares) {
     double[] weights = new double[cells.size()];
-    for (DestinationShare part : ShiftPath.shares(selector, wallMilliseconds)) {
+    for (DestinationShare part : shares) {
       spread(part, weights);
     }
     double total = 0;
--- a/weirlib/src/main/java/org/corianderweir/protocol/Json.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/Json.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.util.Map;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
 
@@ -55,4 +56,18 @@
       throw new WeirException(ErrorCode.JSON_INVALID, reason, failure);
     }
   }
+
+  /**
+   * Makes a record of named texts.
+   *
+   * @throws WeirException with code {@code JSON_INVALID}
+   */
+  public static <T> T fromFields(Map<String, String> fields, Class<T> type) {
+    try {
+      return MAPPER.convertValue(fields, type);
+    } catch (IllegalArgumentException failure) {
+      String reason = "not a " + type.getSimpleName() + ": " + failure.getMessage();
+      throw new WeirException(ErrorCode.JSON_INVALID, reason, failure);
+    }
+  }
 }
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/protocol/operator/Operations.java
@@ -0,0 +1,167 @@
+package org.corianderweir.protocol.operator;
+
+import org.corianderweir.logic.steering.explain.DryRunReport;
+import org.corianderweir.logic.steering.explain.Explanation;
+import org.corianderweir.model.configuration.Configuration;
+import org.corianderweir.protocol.OperatorMessages;
+
+/** All operations of the operators' interface. */
+public final class Operations {
+  /** The state of the entry instance that is asked. */
+  public static final Operation<Operation.NoRequest, OperatorMessages.Status> STATUS =
+      Operation.get("/status", OperatorMessages.Status.class);
+
+  /** The entry instances that are alive. */
+  public static final Operation<Operation.NoRequest, OperatorMessages.Instances> INSTANCES =
+      Operation.get("/instances", OperatorMessages.Instances.class);
+
+  /** The latest events of the entry instance that is asked. */
+  public static final Operation<Operation.NoRequest, OperatorMessages.Timeline> TIMELINE =
+      Operation.get("/timeline", OperatorMessages.Timeline.class);
+
+  /** The meters of the entry instance that is asked. */
+  public static final Operation<Operation.NoRequest, OperatorMessages.Meters> METRICS =
+      Operation.get("/metrics", OperatorMessages.Meters.class);
+
+  /** Begins a planned stop of the entry instance that is asked. */
+  public static final Operation<Operation.NoRequest, OperatorMessages.Accepted> STOP =
+      Operation.post("/stop", Operation.NoRequest.class, OperatorMessages.Accepted.class);
+
+  /** The configuration in force. */
+  public static final Operation<Operation.NoRequest, Configuration> CONFIGURATION =
+      Operation.get("/configuration", Configuration.class);
+
+  /** Replaces the configuration. */
+  public static final Operation<Configuration, OperatorMessages.Accepted> REPLACE_CONFIGURATION =
+      new Operation<>(
+          "PUT", "/configuration", Configuration.class, OperatorMessages.Accepted.class);
+
+  /** The revisions that the entry instance remembers. */
+  public static final Operation<Operation.NoRequest, ConfigurationMessages.History> HISTORY =
+      Operation.get("/configuration/history", ConfigurationMessages.History.class);
+
+  /** A revision that the entry instance remembers. */
+  public static final Operation<ConfigurationMessages.RevisionRequest, Configuration> REVISION =
+      Operation.post(
+          "/configuration/revision",
+          ConfigurationMessages.RevisionRequest.class,
+          Configuration.class);
+
+  /** All labels. */
+  public static final Operation<Operation.NoRequest, LabelMessages.Labels> LABELS =
+      Operation.get("/labels", LabelMessages.Labels.class);
+
+  /** Attaches a label. */
+  public static final Operation<LabelMessages.SetLabel, OperatorMessages.Accepted> SET_LABEL =
+      Operation.post("/labels/set", LabelMessages.SetLabel.class, OperatorMessages.Accepted.class);
+
+  /** Takes a label away. */
+  public static final Operation<LabelMessages.RemoveLabel, OperatorMessages.Accepted> REMOVE_LABEL =
+      Operation.post(
+          "/labels/remove", LabelMessages.RemoveLabel.class, OperatorMessages.Accepted.class);
+
+  /** All selectors. */
+  public static final Operation<Operation.NoRequest, SelectorMessages.Selectors> SELECTORS =
+      Operation.get("/selectors", SelectorMessages.Selectors.class);
+
+  /** Adds or replaces a selector. */
+  public static final Operation<SelectorMessages.SelectorText, OperatorMessages.Accepted>
+      SET_SELECTOR =
+          Operation.post(
+              "/selectors/set",
+              SelectorMessages.SelectorText.class,
+              OperatorMessages.Accepted.class);
+
+  /** Removes a selector. */
+  public static final Operation<SelectorMessages.SelectorName, OperatorMessages.Accepted>
+      REMOVE_SELECTOR =
+          Operation.post(
+              "/selectors/remove",
+              SelectorMessages.SelectorName.class,
+              OperatorMessages.Accepted.class);
+
+  /** Checks a selector without applying it. */
+  public static final Operation<SelectorMessages.SelectorText, DryRunReport> CHECK_SELECTOR =
+      Operation.post("/selectors/check", SelectorMessages.SelectorText.class, DryRunReport.class);
+
+  /** All organisations. */
+  public static final Operation<Operation.NoRequest, OrganisationMessages.Organisations>
+      ORGANISATIONS = Operation.get("/organisations", OrganisationMessages.Organisations.class);
+
+  /** Adds or replaces an organisation. */
+  public static final Operation<OrganisationMessages.SetOrganisation, OperatorMessages.Accepted>
+      SET_ORGANISATION =
+          Operation.post(
+              "/organisations/set",
+              OrganisationMessages.SetOrganisation.class,
+              OperatorMessages.Accepted.class);
+
+  /** Removes an organisation. */
+  public static final Operation<OrganisationMessages.OrganisationName, OperatorMessages.Accepted>
+      REMOVE_ORGANISATION =
+          Operation.post(
+              "/organisations/remove",
+              OrganisationMessages.OrganisationName.class,
+              OperatorMessages.Accepted.class);
+
+  /** The limits of organisations, regions and links. */
+  public static final Operation<Operation.NoRequest, OrganisationMessages.Limits> LIMITS =
+      Operation.get("/limits", OrganisationMessages.Limits.class);
+
+  /** The keys in force, without secrets and hashes. */
+  public static final Operation<Operation.NoRequest, KeyMessages.Keys> KEYS =
+      Operation.get("/keys", KeyMessages.Keys.class);
+
+  /** Issues a key and shows it this once. */
+  public static final Operation<KeyMessages.IssueKey, OperatorMessages.KeyIssued> ISSUE_KEY =
+      Operation.post("/keys/issue", KeyMessages.IssueKey.class, OperatorMessages.KeyIssued.class);
+
+  /** Withdraws a key. */
+  public static final Operation<KeyMessages.WithdrawKey, OperatorMessages.Accepted> WITHDRAW_KEY =
+      Operation.post(
+          "/keys/withdraw", KeyMessages.WithdrawKey.class, OperatorMessages.Accepted.class);
+
+  /** The backend servers that are drained. */
+  public static final Operation<Operation.NoRequest, DrainMessages.Drains> DRAINS =
+      Operation.get("/drains", DrainMessages.Drains.class);
+
+  /** Starts the drain of a backend server. */
+  public static final Operation<DrainMessages.ServerName, OperatorMessages.Accepted> DRAIN =
+      Operation.post("/drain", DrainMessages.ServerName.class, OperatorMessages.Accepted.class);
+
+  /** Ends the drain of a backend server. */
+  public static final Operation<DrainMessages.ServerName, OperatorMessages.Accepted> UNDRAIN =
+      Operation.post("/undrain", DrainMessages.ServerName.class, OperatorMessages.Accepted.class);
+
+  /** The shifts as the entry instance that is asked carries them out. */
+  public static final Operation<Operation.NoRequest, ShiftMessages.Shifts> SHIFTS =
+      Operation.get("/shifts", ShiftMessages.Shifts.class);
+
+  /** Pauses a shift. */
+  public static final Operation<SelectorMessages.SelectorName, OperatorMessages.Accepted>
+      PAUSE_SHIFT =
+          Operation.post(
+              "/shift/pause", SelectorMessages.SelectorName.class, OperatorMessages.Accepted.class);
+
+  /** Lets a paused shift go on. */
+  public static final Operation<SelectorMessages.SelectorName, OperatorMessages.Accepted>
+      RESUME_SHIFT =
+          Operation.post(
+              "/shift/resume",
+              SelectorMessages.SelectorName.class,
+              OperatorMessages.Accepted.class);
+
+  /** Shifts back to the destinations before the latest shift. */
+  public static final Operation<SelectorMessages.SelectorName, OperatorMessages.Accepted>
+      TURN_BACK_SHIFT =
+          Operation.post(
+              "/shift/turn-back",
+              SelectorMessages.SelectorName.class,
+              OperatorMessages.Accepted.class);
+
+  /** Explains where a sample request would go. */
+  public static final Operation<ExplainMessages.SampleRequest, Explanation> EXPLAIN =
+      Operation.post("/explain", ExplainMessages.SampleRequest.class, Explanation.class);
+
+  private Operations() {}
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/protocol/operator/package-info.java
@@ -0,0 +1,5 @@
+/** The operations of the operators' interface with their typed requests and answers. */
+@NullMarked
+package org.corianderweir.protocol.operator;
+
+import org.jspecify.annotations.NullMarked;
