--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -3,16 +3,20 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.corianderweir.bench.backend.BackendStandIn;
+import org.corianderweir.bench.backend.JournalFile;
 import org.corianderweir.bench.backend.ServerPlan;
 import org.corianderweir.bench.demo.Demonstration;
 import org.corianderweir.bench.deployment.DeploymentFiles;
 import org.corianderweir.bench.lookup.LookupExperiment;
+import org.corianderweir.bench.platform.PlatformRates;
 import org.corianderweir.bench.platform.PlatformStandIn;
+import org.corianderweir.daemon.SystemTimeSource;
 import org.openjdk.jmh.runner.Runner;
 import org.openjdk.jmh.runner.RunnerException;
 import org.openjdk.jmh.runner.options.OptionsBuilder;
@@ -36,9 +40,16 @@
     @Parameter(names = "--port", required = true, description = "TCP port to listen on")
     private int port;
 
+    @Parameter(names = "--writes-per-second", description = "writes above are refused")
+    private int writesPerSecond = PlatformRates.USUAL.writesPerSecond();
+
+    @Parameter(names = "--reads-per-second", description = "reads above are refused")
+    private int readsPerSecond = PlatformRates.USUAL.readsPerSecond();
+
     @Override
     public int run() throws InterruptedException {
-      new PlatformStandIn(host, port).start();
+      PlatformRates rates = new PlatformRates(writesPerSecond, readsPerSecond);
+      new PlatformStandIn(host, port, rates, new SystemTimeSource()).start();
       new CountDownLatch(1).await();
       return 0;
     }
@@ -52,10 +63,15 @@
         description = "name/host/port/slots/service ms/cold ms/cold factor; may be repeated")
     private List<String> servers = new ArrayList<>();
 
+    @Parameter(names = "--journal", description = "file that the journals are written to")
+    private String journal = "";
+
     @Override
     public int run() throws InterruptedException {
+      JournalFile file =
+          journal.isEmpty() ? JournalFile.none() : JournalFile.create(Path.of(journal));
       for (String server : servers) {
-        new BackendStandIn(ServerPlan.fromArgument(server)).start();
+        new BackendStandIn(ServerPlan.fromArgument(server), file).start();
       }
       new CountDownLatch(1).await();
       return 0;
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/ConfigurationOperations.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/ConfigurationOperations.java
@@ -1,9 +1,7 @@
 package org.corianderweir.daemon.operator;
 
-import java.util.List;
 import org.corianderweir.logic.configuration.ConfigurationChange;
 import org.corianderweir.logic.configuration.SteeringEditor;
-import org.corianderweir.logic.steering.SelectorValidator;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
 import org.corianderweir.model.configuration.Configuration;
@@ -41,11 +39,7 @@
       Configuration wanted, Configuration current, long wallMilliseconds, WriteOptions options) {
     Configuration content =
         options.keepKeys() ? wanted.toBuilder().keys(current.keys()).build() : wanted;
-    Configuration planned = SteeringEditor.replacement(current, content, wallMilliseconds);
-    List<String> problems = SelectorValidator.problems(planned);
-    if (!problems.isEmpty()) {
-      throw new WeirException(ErrorCode.CONFIGURATION_INVALID, String.join("\n", problems));
-    }
-    return new ConfigurationChange.Replace(planned);
+    return new ConfigurationChange.Replace(
+        SteeringEditor.replacement(current, content, wallMilliseconds));
   }
 }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/ConfigurationWriter.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/ConfigurationWriter.java
@@ -1,10 +1,14 @@
 package org.corianderweir.daemon.operator;
 
+import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 import org.corianderweir.daemon.control.ConfigurationService;
 import org.corianderweir.logic.configuration.ConfigurationChange;
 import org.corianderweir.logic.configuration.ConfigurationEditor;
+import org.corianderweir.logic.configuration.ConfigurationProblem;
+import org.corianderweir.logic.configuration.ConfigurationValidator;
 import org.corianderweir.logic.steering.explain.DryRun;
 import org.corianderweir.logic.steering.explain.DryRunReport;
 import org.corianderweir.model.ErrorCode;
@@ -52,6 +56,12 @@
   DryRunReport report(ConfigurationChange change) {
     Configuration current = configuration.inForce();
     Configuration changed = ConfigurationEditor.apply(current, change, DRY_RUN_OPERATION);
+    List<ConfigurationProblem> problems = ConfigurationValidator.problems(changed);
+    if (!problems.isEmpty()) {
+      throw new WeirException(
+          ErrorCode.CONFIGURATION_INVALID,
+          problems.stream().map(ConfigurationProblem::text).collect(Collectors.joining("; ")));
+    }
     return DryRun.report(
         current, changed, context.steering().servers(), context.time().wallMilliseconds());
   }
--- a/weirlib/src/main/java/org/corianderweir/protocol/Json.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/Json.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.util.Map;
 import org.corianderweir.model.ErrorCode;
@@ -16,6 +17,8 @@
           .addModule(new Jdk8Module())
           .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
           .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+          .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
+          .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
           .build();
 
@@ -70,4 +73,23 @@
       throw new WeirException(ErrorCode.JSON_INVALID, reason, failure);
     }
   }
+
+  /** Returns an object without fields. */
+  static ObjectNode emptyObject() {
+    return MAPPER.createObjectNode();
+  }
+
+  /** Returns a value as a tree. */
+  static ObjectNode toTree(Object value) {
+    return MAPPER.valueToTree(value);
+  }
+
+  /**
+   * Reads a value from a tree.
+   *
+   * @throws WeirException with code {@code JSON_INVALID}
+   */
+  static <T> T fromTree(ObjectNode tree, Class<T> type) {
+    return read(tree.toString(), type);
+  }
 }
--- a/weirlib/src/test/java/org/corianderweir/logic/configuration/SteeringEditorTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/configuration/SteeringEditorTest.java
@@ -108,20 +108,6 @@
   @DataProvider
   public static Object[][] refusedChanges() {
     return new Object[][] {
-      {
-        new SteeringChange.SetSelector(
-            selector("route x path /x for organisation in (erie) to service desk"), NOW),
-        "selector x: no organisation erie"
-      },
-      {
-        new SteeringChange.SetSelector(
-            selector("route x path /a to service desk where region = erie"), NOW),
-        "selectors: the path /a is used twice\nselector x: no region erie"
-      },
-      {
-        new SteeringChange.SetSelector(selector("route x path /x to service desk weight 0"), NOW),
-        "selector x: at least one destination needs a weight above zero"
-      },
       {new SteeringChange.RemoveSelector("x", NOW), "no selector x"},
       {
         new SteeringChange.PauseShift("all", NOW),
