--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/steering/package-info.java
@@ -0,0 +1,5 @@
+/** Measures the time and allocation of steering. */
+@NullMarked
+package org.corianderweir.bench.steering;
+
+import org.jspecify.annotations.NullMarked;
