--- a/weirctl/src/main/java/org/corianderweir/ctl/CommandTree.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/CommandTree.java
@@ -58,6 +58,7 @@
     JCommander configuration = group(root, options, "config", new ConfigurationCommands());
     add(configuration, options, "show", new ConfigurationCommands.ShowCommand());
     add(configuration, options, "history", new ConfigurationCommands.HistoryCommand());
+    add(configuration, options, "in-force", new ConfigurationCommands.InForceCommand());
     add(configuration, options, "diff", new ConfigurationCommands.DiffCommand());
     add(configuration, options, "apply", new ConfigurationCommands.ApplyCommand());
     add(root, options, "explain", new ShiftCommands.ExplainCommand());
--- a/weirctl/src/main/java/org/corianderweir/ctl/OperatorClient.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/OperatorClient.java
@@ -3,6 +3,7 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
@@ -19,14 +20,16 @@
 import org.corianderweir.protocol.operator.Operation;
 
 /**
- * Calls the operators' interface of the first entry instance that answers. A read goes on to the
- * next instance after any failure of the connection; a change only while it can't have been sent.
+ * Calls the operators' interface of the first entry instance that answers. A read, and a change
+ * that names its operation, go on to the next instance after any failure of the connection; another
+ * change only while it can't have been sent.
  */
 public final class OperatorClient {
   private static final int STATUS_OK = 200;
   private static final int STATUS_BAD_REQUEST = 400;
   private static final int STATUS_UNAUTHORISED = 401;
   private static final int STATUS_CONFLICT = 409;
+  private static final int STATUS_UNAVAILABLE = 503;
   private static final byte[] NO_BODY = new byte[0];
 
   private final HttpClient http;
@@ -59,7 +62,7 @@
     return Json.read(call(operation, request, Map.of(), true).bodyText(), operation.answerType());
   }
 
-  /** Makes a change. */
+  /** Makes a change; one whose options name the operation may be sent again. */
   public <Q, A> A write(Operation<Q, A> operation, Q request, Map<String, String> options) {
     return Json.read(call(operation, request, options, false).bodyText(), operation.answerType());
   }
@@ -72,18 +75,27 @@
 
   private <Q> HttpReply call(
       Operation<Q, ?> operation, Q request, Map<String, String> options, boolean repeatable) {
-    boolean empty = request instanceof Operation.NoRequest;
-    byte[] body = empty ? NO_BODY : Json.write(request).getBytes(StandardCharsets.UTF_8);
+    boolean hasBody =
+        !operation.method().equals("GET") && !(request instanceof Operation.NoRequest);
+    byte[] body = hasBody ? Json.write(request).getBytes(StandardCharsets.UTF_8) : NO_BODY;
+    Map<String, String> parameters = new LinkedHashMap<>(options);
+    if (!hasBody) {
+      parameters.putAll(Json.toFields(request));
+    }
     HttpCall call =
         new HttpCall(
             operation.method(),
-            operation.path() + query(options),
+            operation.path() + query(parameters),
             HttpHeaders.NONE.with(Operation.CREDENTIAL_HEADER, credential),
             body);
     for (int attempt = 0; attempt < addresses.size(); attempt++) {
       HttpAddress address = addresses.get(preferred);
       try {
-        return checked(http.exchange(address, call, timeout).join());
+        HttpReply reply = http.exchange(address, call, timeout).join();
+        if (!isIsolated(reply)) {
+          return checked(reply);
+        }
+        preferred = (preferred + 1) % addresses.size();
       } catch (CompletionException failure) {
         failed(failure, address, repeatable);
         preferred = (preferred + 1) % addresses.size();
@@ -92,11 +104,17 @@
     throw new CommandException(
         ExitStatus.UNREACHABLE,
         "unreachable",
-        "no entry instance answers at "
+        "no entry instance answers, or all are cut off, at "
             + addresses.stream().map(HttpAddress::toString).collect(Collectors.joining(", ")),
         "check the addresses, or name further instances with --instances");
   }
 
+  /** An instance that hears nobody of its zone accepts no changes; another one may. */
+  private static boolean isIsolated(HttpReply reply) {
+    return reply.status() == STATUS_UNAVAILABLE
+        && failure(reply).code().equals(ErrorCode.INSTANCE_ISOLATED.name());
+  }
+
   private static void failed(CompletionException failure, HttpAddress address, boolean repeatable) {
     boolean notSent =
         failure.getCause() instanceof WeirException typed
--- a/weirctl/src/main/java/org/corianderweir/ctl/Session.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/Session.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.UUID;
 import org.corianderweir.logic.steering.explain.DryRunReport;
 import org.corianderweir.protocol.OperatorMessages;
 import org.corianderweir.protocol.operator.Operation;
@@ -42,6 +43,7 @@
       parameters.put(Operation.DRY_RUN, "true");
       return DryRunPrinter.print(client.tryOut(operation, request, parameters, DryRunReport.class));
     }
+    parameters.put(Operation.OPERATION, "weirctl/" + UUID.randomUUID());
     OperatorMessages.Accepted accepted = client.write(operation, request, parameters);
     return Result.line(accepted, "accepted as revision " + accepted.revision());
   }
--- a/weirctl/src/main/java/org/corianderweir/ctl/command/ConfigurationCommands.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/command/ConfigurationCommands.java
@@ -9,19 +9,24 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import org.corianderweir.coordination.InForceOperation;
+import org.corianderweir.coordination.InForceReport;
 import org.corianderweir.ctl.Command;
 import org.corianderweir.ctl.Result;
 import org.corianderweir.ctl.Session;
 import org.corianderweir.ctl.TextTable;
 import org.corianderweir.model.WeirException;
+import org.corianderweir.model.configuration.AcceptedChange;
 import org.corianderweir.model.configuration.Configuration;
 import org.corianderweir.protocol.Json;
+import org.corianderweir.protocol.OperatorMessages;
 import org.corianderweir.protocol.operator.ConfigurationMessages;
 import org.corianderweir.protocol.operator.Operation;
 import org.corianderweir.protocol.operator.Operations;
 
 /** Commands about the whole configuration. */
-@Parameters(commandDescription = "config: show, history, diff, apply")
+@Parameters(commandDescription = "config: show, history, in-force, diff, apply")
 public final class ConfigurationCommands {
   /** Shows the configuration in force. */
   @Parameters(commandDescription = "show the configuration in force, without keys")
@@ -33,21 +38,50 @@
     }
   }
 
-  /** Lists the latest revisions. */
-  @Parameters(commandDescription = "list the revisions that the entry instance remembers")
+  /** Lists the latest changes. */
+  @Parameters(commandDescription = "list the latest changes, the last one first")
   public static final class HistoryCommand implements Command {
     @Override
     public Result run(Session session) {
-      ConfigurationMessages.History history = session.read(Operations.HISTORY);
-      TextTable table = new TextTable("REVISION", "IN FORCE SINCE", "CHANGE");
-      for (ConfigurationMessages.RevisionEntry entry : history.revisions()) {
+      OperatorMessages.History history = session.read(Operations.HISTORY);
+      TextTable table = new TextTable("REVISION", "ACCEPTED", "CHANGE", "OPERATION");
+      for (AcceptedChange change : history.changes()) {
         table.add(
-            entry.revision(), Instant.ofEpochMilli(entry.inForceMilliseconds()), entry.operation());
+            change.revision(),
+            Instant.ofEpochMilli(change.wallMilliseconds()),
+            change.summary(),
+            change.operation());
       }
       return new Result(history, table.lines());
     }
   }
 
+  /** Shows where a revision is in force. */
+  @Parameters(commandDescription = "show in which availability zones a revision is in force")
+  public static final class InForceCommand implements Command {
+    @Parameter(names = "--revision", description = "the revision; default: the latest one")
+    private long revision = -1;
+
+    @Override
+    public Result run(Session session) {
+      Optional<Long> wanted = revision < 0 ? Optional.empty() : Optional.of(revision);
+      InForceReport report =
+          session
+              .client()
+              .read(InForceOperation.IN_FORCE, new ConfigurationMessages.RevisionRequest(wanted));
+      TextTable table = new TextTable("ZONE", "REVISION " + report.revision(), "KEYS STOP BY");
+      for (InForceReport.ZoneState zone : report.zones()) {
+        String stop =
+            zone.keysStoppedByMilliseconds()
+                .map(Instant::ofEpochMilli)
+                .map(Instant::toString)
+                .orElse("-");
+        table.add(zone.zone(), InstanceCommands.lowerCase(zone.reach()), stop);
+      }
+      return new Result(report, table.lines());
+    }
+  }
+
   /** Shows what differs between two revisions or from a file. */
   @Parameters(commandDescription = "show what differs: diff FROM [TO], or diff --file FILE")
   public static final class DiffCommand implements Command {
@@ -74,7 +108,7 @@
     private List<String> differences(Session session) {
       Configuration inForce = session.read(Operations.CONFIGURATION);
       if (!file.isEmpty()) {
-        return ConfigurationDifference.lines(withoutKeys(inForce), withoutKeys(readFile(file)));
+        return DifferencePrinter.lines(withoutKeys(inForce), withoutKeys(readFile(file)));
       }
       if (revisions.isEmpty() || revisions.size() > 2) {
         throw Words.usage(
@@ -82,7 +116,7 @@
       }
       Configuration from = revision(session, revisions.getFirst());
       Configuration to = revisions.size() == 2 ? revision(session, revisions.get(1)) : inForce;
-      return ConfigurationDifference.lines(from, to);
+      return DifferencePrinter.lines(from, to);
     }
 
     private static Configuration revision(Session session, String text) {
@@ -91,7 +125,7 @@
             .client()
             .read(
                 Operations.REVISION,
-                new ConfigurationMessages.RevisionRequest(Long.parseLong(text)));
+                new ConfigurationMessages.RevisionRequest(Optional.of(Long.parseLong(text))));
       } catch (NumberFormatException notNumeric) {
         throw Words.usage("read '" + text + "' as a revision", "write a whole number");
       }
--- a/weirctl/src/main/java/org/corianderweir/ctl/command/ConfigurationDifference.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/command/DifferencePrinter.java
@@ -16,9 +16,9 @@
 import org.corianderweir.model.configuration.Selector;
 import org.corianderweir.protocol.Json;
 
-/** Says what differs between two configurations; never shows the hash of a key. */
-final class ConfigurationDifference {
-  private ConfigurationDifference() {}
+/** Prints the content of what differs between two configurations, never the hash of a key. */
+final class DifferencePrinter {
+  private DifferencePrinter() {}
 
   static List<String> lines(Configuration from, Configuration to) {
     List<String> lines = new ArrayList<>();
@@ -52,7 +52,7 @@
         from.selectors(),
         to.selectors(),
         Selector::name,
-        ConfigurationDifference::text);
+        DifferencePrinter::text);
     return lines;
   }
 
--- a/weirctl/src/test/java/org/corianderweir/ctl/CommandLineTest.java
+++ b/weirctl/src/test/java/org/corianderweir/ctl/CommandLineTest.java
@@ -13,11 +13,14 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import org.corianderweir.coordination.InForceReport;
 import org.corianderweir.logic.membership.Member;
 import org.corianderweir.logic.steering.CellCondition;
 import org.corianderweir.logic.steering.ShiftState;
 import org.corianderweir.logic.steering.explain.DryRunReport;
 import org.corianderweir.logic.steering.explain.Explanation;
+import org.corianderweir.model.configuration.AcceptedChange;
 import org.corianderweir.model.configuration.AccessKey;
 import org.corianderweir.model.configuration.Configuration;
 import org.corianderweir.model.configuration.Label;
@@ -31,7 +34,6 @@
 import org.corianderweir.model.topology.InstanceState;
 import org.corianderweir.protocol.Json;
 import org.corianderweir.protocol.OperatorMessages;
-import org.corianderweir.protocol.operator.ConfigurationMessages;
 import org.corianderweir.protocol.operator.DrainMessages;
 import org.corianderweir.protocol.operator.KeyMessages;
 import org.corianderweir.protocol.operator.LabelMessages;
@@ -98,11 +100,18 @@
         new OperatorMessages.Meters(List.of(new OperatorMessages.MeterValue("requests", 3, 0.25))));
     operators.reply("GET /configuration", CONFIGURATION);
     operators.reply(
-        "POST /configuration/revision", CONFIGURATION.toBuilder().organisations(List.of()).build());
+        "GET /configuration/revision", CONFIGURATION.toBuilder().organisations(List.of()).build());
     operators.reply(
         "GET /configuration/history",
-        new ConfigurationMessages.History(
-            List.of(new ConfigurationMessages.RevisionEntry(7, "entry-1/x", 0))));
+        new OperatorMessages.History(
+            List.of(new AcceptedChange(7, "entry-1/x", "key k1 added", 0))));
+    operators.reply(
+        "GET /in-force",
+        new InForceReport(
+            7,
+            List.of(
+                new InForceReport.ZoneState(
+                    "e1", InForceReport.Reach.UNREACHABLE, 6, Optional.of(0L), 0))));
     operators.reply(
         "GET /labels",
         new LabelMessages.Labels(
@@ -262,7 +271,12 @@
       {
         "config history",
         List.of(
-            "REVISION  IN FORCE SINCE        CHANGE", "7         1970-01-01T00:00:00Z  entry-1/x")
+            "REVISION  ACCEPTED              CHANGE        OPERATION",
+            "7         1970-01-01T00:00:00Z  key k1 added  entry-1/x")
+      },
+      {
+        "config in-force --revision 7",
+        List.of("ZONE  REVISION 7   KEYS STOP BY", "e1    unreachable  1970-01-01T00:00:00Z")
       },
       {
         "config diff 6",
@@ -356,7 +370,8 @@
     ExitStatus status = run(line.split(" "));
     assertEquals(printedErrors(), List.of());
     assertEquals(
-        operators.calls(), List.of(STATUS_CALL, operation + "?expected-revision=7 " + body));
+        operators.calls(),
+        List.of(STATUS_CALL, operation + "?expected-revision=7&operation=X " + body));
     assertEquals(printed(), List.of("accepted as revision 8"));
     assertEquals(status, ExitStatus.OK);
   }
@@ -367,7 +382,8 @@
     words.add("--expected-revision");
     words.add("5");
     run(words.toArray(String[]::new));
-    assertEquals(operators.calls(), List.of(operation + "?expected-revision=5 " + body));
+    assertEquals(
+        operators.calls(), List.of(operation + "?expected-revision=5&operation=X " + body));
   }
 
   @Test(dataProvider = "changingCommands")
@@ -417,7 +433,7 @@
             "-" + club.formatted("20.0"), "+" + club.formatted("10.0"), "accepted as revision 8"));
     assertEquals(
         operators.calls().getLast(),
-        "PUT /configuration?expected-revision=7&keep-keys=true "
+        "PUT /configuration?expected-revision=7&keep-keys=true&operation=X "
             + Json.write(CONFIGURATION.toBuilder().keys(List.of()).build()));
     Files.delete(file);
   }
@@ -437,6 +453,18 @@
     assertEquals(printed(), List.of("accepted as revision 8"));
   }
 
+  @Test
+  public void triesTheNextInstanceWhenOneIsCutOff() {
+    FakeOperators isolated = new FakeOperators();
+    isolated.fail("POST /drain", 503, "INSTANCE_ISOLATED", "hears nobody");
+    isolated.start();
+    String both = isolated.address() + "," + operators.address();
+    ExitStatus status = runAt(both, "drain", "s1", "--expected-revision", "7");
+    isolated.stop();
+    assertEquals(status, ExitStatus.OK);
+    assertEquals(printed(), List.of("accepted as revision 8"));
+  }
+
   @DataProvider
   public static Object[][] failures() {
     return new Object[][] {
@@ -461,7 +489,7 @@
     assertEquals(
         printedErrors(),
         List.of(
-            "weirctl: unreachable: no entry instance answers at " + DOWN,
+            "weirctl: unreachable: no entry instance answers, or all are cut off, at " + DOWN,
             "next: check the addresses, or name further instances with --instances"));
   }
 
@@ -494,8 +522,8 @@
             + "selectors set,selectors remove,selectors check,organisations list,"
             + "organisations set,organisations remove,limits,keys list,keys issue,"
             + "keys withdraw,drain,undrain,drains,shift show,shift pause,shift resume,"
-            + "shift turn-back,config show,config history,config diff,config apply,explain,"
-            + "dry-run,timeline";
+            + "shift turn-back,config show,config history,config in-force,"
+            + "config diff,config apply,explain,dry-run,timeline";
     return Arrays.stream(commands.split(","))
         .map(command -> new Object[] {command})
         .toArray(Object[][]::new);
--- a/weirctl/src/test/java/org/corianderweir/ctl/FakeOperators.java
+++ b/weirctl/src/test/java/org/corianderweir/ctl/FakeOperators.java
@@ -55,9 +55,11 @@
         operation, HttpReply.json(status, Json.write(new OperatorMessages.Failure(code, message))));
   }
 
-  /** Returns what was asked, in order: method, target and body. */
+  /** Returns what was asked, in order: method, target and body, less the name of the operation. */
   List<String> calls() {
-    return List.copyOf(calls);
+    return calls.stream()
+        .map(call -> call.replaceFirst("operation=[^& ]+", "operation=X"))
+        .toList();
   }
 
   private CompletableFuture<HttpReply> answer(HttpCall call) {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/ConfigurationWriter.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/ConfigurationWriter.java
@@ -1,6 +1,7 @@
 package org.corianderweir.daemon.operator;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
@@ -13,6 +14,7 @@
 import org.corianderweir.logic.steering.explain.DryRunReport;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
+import org.corianderweir.model.configuration.AcceptedChange;
 import org.corianderweir.model.configuration.Configuration;
 
 /** Applies operators' changes, or says what they would do. */
@@ -47,10 +49,21 @@
     return change;
   }
 
-  CompletableFuture<Configuration> apply(ConfigurationChange change, WriteOptions options) {
+  /** Returns the revision that a change made when it was asked for before, if it was. */
+  Optional<Long> accepted(WriteOptions options) {
+    return configuration.history().stream()
+        .filter(change -> options.operation().filter(change.operation()::equals).isPresent())
+        .map(AcceptedChange::revision)
+        .findFirst();
+  }
+
+  CompletableFuture<Long> apply(ConfigurationChange change, WriteOptions options) {
     long expected = options.expectedRevision().orElse(configuration.inForce().revision());
-    String operation = context.settings().instance().name() + "/" + UUID.randomUUID();
-    return configuration.change(expected, change, operation);
+    return configuration.change(expected, change, options.operation().orElseGet(this::generated));
+  }
+
+  private String generated() {
+    return context.settings().instance().name() + "/" + UUID.randomUUID();
   }
 
   DryRunReport report(ConfigurationChange change) {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/KeyOperations.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/KeyOperations.java
@@ -11,7 +11,10 @@
 import org.corianderweir.protocol.operator.KeyMessages;
 import org.corianderweir.protocol.operator.Operations;
 
-/** Operations on keys. Secrets and hashes leave this process only in the answer to an issue. */
+/**
+ * Operations on keys. To issue a key can't be repeated by naming the operation, as each has a new
+ * secret. Secrets and hashes leave this process only in the answer to an issue.
+ */
 final class KeyOperations {
   private final OperatorContext context;
   private final ConfigurationWriter writer;
@@ -54,9 +57,8 @@
     KeyHasher.IssuedKey issued =
         KeyHasher.issue(request.identifier(), request.organisation(), random);
     return writer
-        .apply(new ConfigurationChange.AddKey(issued.stored()), options)
-        .thenApply(
-            accepted -> new OperatorMessages.KeyIssued(accepted.revision(), issued.presented()));
+        .apply(new ConfigurationChange.AddKey(issued.stored()), options.withoutOperation())
+        .thenApply(revision -> new OperatorMessages.KeyIssued(revision, issued.presented()));
   }
 
   private static WeirException invalid(String message) {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorService.java
@@ -40,7 +40,6 @@
 
   private final OperatorContext context;
   private final RouteTable routes;
-  private final ConfigurationHistory history = new ConfigurationHistory();
   private final HttpListener listener;
 
   /** Creates the service; it does not listen yet. */
@@ -49,7 +48,7 @@
     ConfigurationWriter writer = new ConfigurationWriter(context);
     routes = new RouteTable(writer);
     new InstanceOperations(context).register(routes);
-    new ConfigurationOperations(context, history).register(routes);
+    new ConfigurationOperations(context).register(routes);
     new LabelOperations(context).register(routes);
     new SelectorOperations(context, writer).register(routes);
     new OrganisationOperations(context).register(routes);
@@ -74,9 +73,6 @@
 
   @Override
   public void start(ServiceDirectory directory) {
-    context
-        .configuration()
-        .onChange(changed -> history.add(changed, context.time().wallMilliseconds()));
     listener.start();
   }
 
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/RouteTable.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/RouteTable.java
@@ -17,7 +17,8 @@
 /** Finds the handler of an operation. Filled at the start, then only read. */
 final class RouteTable {
   private static final Set<String> OPTIONS =
-      Set.of(Operation.EXPECTED_REVISION, Operation.DRY_RUN, Operation.KEEP_KEYS);
+      Set.of(
+          Operation.EXPECTED_REVISION, Operation.OPERATION, Operation.DRY_RUN, Operation.KEEP_KEYS);
 
   private final Map<String, Handler> handlers = new HashMap<>();
   private final ConfigurationWriter writer;
@@ -42,6 +43,10 @@
         call -> CompletableFuture.completedFuture(handler.apply(request(operation, call))));
   }
 
+  <Q, A> void readLater(Operation<Q, A> operation, Function<Q, CompletableFuture<A>> handler) {
+    put(operation, call -> handler.apply(request(operation, call)));
+  }
+
   <Q, A> void write(Operation<Q, A> operation, Writing<Q, A> handler) {
     put(operation, call -> handler.handle(request(operation, call), WriteOptions.of(call)));
   }
@@ -52,12 +57,14 @@
         operation,
         call -> {
           WriteOptions options = WriteOptions.of(call);
+          Optional<Long> accepted = writer.accepted(options);
+          if (accepted.isPresent()) {
+            return CompletableFuture.completedFuture(new OperatorMessages.Accepted(accepted.get()));
+          }
           ConfigurationChange change = writer.change(maker, request(operation, call), options);
           return options.dryRun()
               ? CompletableFuture.completedFuture(writer.report(change))
-              : writer
-                  .apply(change, options)
-                  .thenApply(accepted -> new OperatorMessages.Accepted(accepted.revision()));
+              : writer.apply(change, options).thenApply(OperatorMessages.Accepted::new);
         });
   }
 
--- a/weirlib/src/main/java/org/corianderweir/protocol/operator/ConfigurationMessages.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/operator/ConfigurationMessages.java
@@ -1,6 +1,6 @@
 package org.corianderweir.protocol.operator;
 
-import java.util.List;
+import java.util.Optional;
 
 /** Messages about revisions of the configuration. */
 public final class ConfigurationMessages {
@@ -9,24 +9,15 @@
   /**
    * Names a revision.
    *
-   * @param revision number of the revision
+   * @param revision number of the revision; absent means the one in force
    */
-  public record RevisionRequest(long revision) {}
+  public record RevisionRequest(Optional<Long> revision) {}
 
   /**
-   * The revisions that an entry instance remembers since its start.
+   * Names two revisions to compare.
    *
-   * @param revisions the revisions, oldest first
+   * @param from earlier revision; absent means the one before the other
+   * @param to later revision; absent means the one in force
    */
-  public record History(List<RevisionEntry> revisions) {}
-
-  /**
-   * A revision that was in force.
-   *
-   * @param revision its number
-   * @param operation identifier of the change that made it
-   * @param inForceMilliseconds wall time at which it came in force at the entry instance,
-   *     milliseconds since the epoch
-   */
-  public record RevisionEntry(long revision, String operation, long inForceMilliseconds) {}
+  public record DifferenceRequest(Optional<Long> from, Optional<Long> to) {}
 }
--- a/weirlib/src/main/java/org/corianderweir/protocol/operator/Operation.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/operator/Operation.java
@@ -17,6 +17,9 @@
   /** Query parameter with the revision that a change is based on. */
   public static final String EXPECTED_REVISION = "expected-revision";
 
+  /** Query parameter that names a change, so that it can be repeated without being made twice. */
+  public static final String OPERATION = "operation";
+
   /** Query parameter; {@code true} asks what a change would do instead of applying it. */
   public static final String DRY_RUN = "dry-run";
 
--- a/weirlib/src/main/java/org/corianderweir/protocol/operator/Operations.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/operator/Operations.java
@@ -1,5 +1,6 @@
 package org.corianderweir.protocol.operator;
 
+import org.corianderweir.logic.configuration.ConfigurationDifference;
 import org.corianderweir.logic.steering.explain.DryRunReport;
 import org.corianderweir.logic.steering.explain.Explanation;
 import org.corianderweir.model.configuration.Configuration;
@@ -36,13 +37,23 @@
       new Operation<>(
           "PUT", "/configuration", Configuration.class, OperatorMessages.Accepted.class);
 
-  /** The revisions that the entry instance remembers. */
-  public static final Operation<Operation.NoRequest, ConfigurationMessages.History> HISTORY =
-      Operation.get("/configuration/history", ConfigurationMessages.History.class);
+  /** The latest changes. */
+  public static final Operation<Operation.NoRequest, OperatorMessages.History> HISTORY =
+      Operation.get("/configuration/history", OperatorMessages.History.class);
 
-  /** A revision that the entry instance remembers. */
+  /** What changed from one kept revision to another. */
+  public static final Operation<ConfigurationMessages.DifferenceRequest, ConfigurationDifference>
+      DIFFERENCE =
+          new Operation<>(
+              "GET",
+              "/configuration/difference",
+              ConfigurationMessages.DifferenceRequest.class,
+              ConfigurationDifference.class);
+
+  /** A kept revision. */
   public static final Operation<ConfigurationMessages.RevisionRequest, Configuration> REVISION =
-      Operation.post(
+      new Operation<>(
+          "GET",
           "/configuration/revision",
           ConfigurationMessages.RevisionRequest.class,
           Configuration.class);
