--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/steering/SteeringBenchmark.java
@@ -0,0 +1,117 @@
+package org.corianderweir.bench.steering;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.corianderweir.logic.steering.CellConditions;
+import org.corianderweir.logic.steering.SteeringDecision;
+import org.corianderweir.logic.steering.SteeringTable;
+import org.corianderweir.logic.steering.SteeringTracker;
+import org.corianderweir.logic.steering.grammar.SelectorParser;
+import org.corianderweir.model.configuration.AvailabilityZone;
+import org.corianderweir.model.configuration.BackendServer;
+import org.corianderweir.model.configuration.Configuration;
+import org.corianderweir.model.configuration.Label;
+import org.corianderweir.model.configuration.Selector;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** Time of steering a request, of a step of the weights and of preparing a revision. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 2, time = 1)
+@Measurement(iterations = 3, time = 1)
+@Fork(1)
+public class SteeringBenchmark {
+  private static final int SELECTORS = 8;
+  private static final int ZONES_PER_REGION = 4;
+  private static final int SLOTS = 9;
+  private static final int CONNECTIONS = 660;
+  private static final int FIRST_PORT = 1_000;
+  private static final CellConditions.ServerView READY =
+      server -> new CellConditions.ServerCondition(true, true, true, 0.5);
+
+  /** Number of availability zones; each has five backend servers. */
+  @Param({"6", "40"})
+  public int zones;
+
+  private final SplittableRandom random = new SplittableRandom(1);
+  private final SteeringTracker tracker = new SteeringTracker("region-0", 0);
+  private Configuration configuration = Configuration.EMPTY;
+  private SteeringTable table = SteeringTable.EMPTY;
+  private long now;
+
+  /** Prepares the configuration. */
+  @Setup
+  public void prepare() {
+    List<AvailabilityZone> zoneList = new ArrayList<>();
+    List<BackendServer> servers = new ArrayList<>();
+    for (int zone = 0; zone < zones; zone++) {
+      String name = "zone-" + zone;
+      zoneList.add(new AvailabilityZone(name, "region-" + zone / ZONES_PER_REGION, List.of()));
+      for (int server = 0; server < 5; server++) {
+        servers.add(server(name, server));
+      }
+    }
+    List<Selector> selectors = new ArrayList<>();
+    for (int index = 0; index < SELECTORS; index++) {
+      selectors.add(
+          SelectorParser.parse(
+              "route s%d path /%d to service desk where server.tier = gold weight 80,"
+                      .formatted(index, index)
+                  + " where server.tier != gold weight 20"));
+    }
+    configuration =
+        Configuration.builder()
+            .zones(zoneList)
+            .backendServers(servers)
+            .selectors(selectors)
+            .build();
+    tracker.adopt(configuration, 0);
+    table = tracker.step(READY, 0, 0);
+  }
+
+  private static BackendServer server(String zone, int number) {
+    List<Label> labels = List.of(new Label("tier", number < 3 ? "gold" : "iron"));
+    return new BackendServer(
+        zone + "-" + number,
+        "desk",
+        zone,
+        "127.0.0.1",
+        FIRST_PORT + number,
+        SLOTS,
+        CONNECTIONS,
+        false,
+        labels);
+  }
+
+  /** Steers one request. */
+  @Benchmark
+  public SteeringDecision steer() {
+    return table.steer("s3", random.nextDouble());
+  }
+
+  /** Moves the weights of all selectors. */
+  @Benchmark
+  public SteeringTable step() {
+    now += TimeUnit.MILLISECONDS.toNanos(200);
+    return tracker.step(READY, now, now);
+  }
+
+  /** Prepares a revision. */
+  @Benchmark
+  public void adopt() {
+    tracker.adopt(configuration, 0);
+  }
+}
--- a/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationProblem.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationProblem.java
@@ -24,6 +24,10 @@
     SERVICE_WITHOUT_SERVER,
     /** Two selectors have the same path prefix. */
     PATH_AMBIGUOUS,
+    /** A selector names a backend server that there is not. */
+    SERVER_UNKNOWN,
+    /** A selector has no destination that can get traffic, or too many. */
+    DESTINATION_INVALID,
     /** A limit is zero, negative or not a number. */
     LIMIT_INVALID,
     /** An item has two values for the same label. */
