Relays stand before callers' and peers' ports too: listen-port

Cause: entry instances tell each other the addresses of their own settings, so peer traffic went around the relays and a cut between zones cut nothing between entry instances. Ruled out: addresses by the platform's list alone (membership uses what the instances say). Settings have an optional listen-port for callers and peers now; port is what the others are told. Changed tests: SettingsReaderTest expects the new component and refuses a wrong listen-port.

--- a/weirbench/src/main/java/org/corianderweir/bench/load/CallerZones.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/load/CallerZones.java
@@ -27,9 +27,17 @@
 
   private CallerZones() {}
 
-  /** Creates callers that use the system. */
+  /**
+   * Creates callers that use the system.
+   *
+   * @param known entry instances that callers can ask
+   */
   public static CallerZones steered(
-      DeploymentLayout layout, long seed, CallerKeys keys, CallJournal journal) {
+      DeploymentLayout layout,
+      List<EntryInstance> known,
+      long seed,
+      CallerKeys keys,
+      CallJournal journal) {
     CallerZones zones = new CallerZones();
     for (Deployment.Zone zone : layout.deployment().zones()) {
       HttpClient client = zones.client(layout, zone);
@@ -39,7 +47,7 @@
               client,
               zone.name(),
               zone.prefix() + CLIENT_NUMBER,
-              nearestFirst(layout.entryInstances(), zone),
+              nearestFirst(known, zone),
               "call-" + seed + "-" + zone.name(),
               keys,
               journal));
--- a/weirbench/src/main/java/org/corianderweir/bench/process/Fleet.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/process/Fleet.java
@@ -82,7 +82,8 @@
     HttpAddress platform =
         options.relayed() ? layout.relayOf(layout.platform()) : layout.platform();
     Path settings =
-        SettingsFile.write(options.directory(), instance, platform, FleetClient.CREDENTIAL);
+        SettingsFile.write(
+            options.directory(), advertised(instance), instance, platform, FleetClient.CREDENTIAL);
     processes.start(instance.name(), DaemonMain.class, List.of("--settings", settings.toString()));
   }
 
@@ -119,12 +120,17 @@
   /** Puts all entry instances on the platform's list. */
   public boolean publishInstances() {
     List<ListedInstance> listed =
-        layout.entryInstances().stream()
-            .map(instance -> new ListedInstance(advertised(instance), false))
+        advertisedInstances().stream()
+            .map(instance -> new ListedInstance(instance, false))
             .toList();
     return client.publishInstances(layout.platform(), listed);
   }
 
+  /** Returns the entry instances with the addresses that callers and other instances use. */
+  public List<EntryInstance> advertisedInstances() {
+    return layout.entryInstances().stream().map(this::advertised).toList();
+  }
+
   /** Returns the backend servers with the addresses that entry instances use. */
   public List<BackendServer> advertisedServers() {
     return layout.backendServers().stream().map(this::advertised).toList();
@@ -201,11 +207,16 @@
               CONNECTION_COST_NANOSECONDS));
     }
     for (EntryInstance instance : layout.entryInstances()) {
-      HttpAddress address = new HttpAddress(instance.host(), instance.peerPort());
-      relay.add(RelayTarget.plain(layout.relayOf(address), address, instance.availabilityZone()));
+      relayInstance(instance, instance.callerPort());
+      relayInstance(instance, instance.peerPort());
     }
   }
 
+  private void relayInstance(EntryInstance instance, int port) {
+    HttpAddress address = new HttpAddress(instance.host(), port);
+    relay.add(RelayTarget.plain(layout.relayOf(address), address, instance.availabilityZone()));
+  }
+
   private void setLatencies() {
     for (Deployment.Zone from : layout.deployment().zones()) {
       for (Deployment.Zone to : layout.deployment().zones()) {
@@ -246,15 +257,16 @@
     if (!options.relayed()) {
       return instance;
     }
-    HttpAddress peer = layout.relayOf(new HttpAddress(instance.host(), instance.peerPort()));
+    HttpAddress callers = layout.relayOf(new HttpAddress(instance.host(), instance.callerPort()));
+    HttpAddress peers = layout.relayOf(new HttpAddress(instance.host(), instance.peerPort()));
     return new EntryInstance(
         instance.name(),
         instance.region(),
         instance.availabilityZone(),
         instance.host(),
-        instance.callerPort(),
+        callers.port(),
         instance.operatorPort(),
-        peer.port());
+        peers.port());
   }
 
   private BackendServer advertised(BackendServer server) {
--- a/weirbench/src/main/java/org/corianderweir/bench/process/SettingsFile.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/process/SettingsFile.java
@@ -11,8 +11,18 @@
 final class SettingsFile {
   private SettingsFile() {}
 
+  /**
+   * Writes a file.
+   *
+   * @param instance the addresses that others are told
+   * @param listening the addresses that it listens on
+   */
   static Path write(
-      Path directory, EntryInstance instance, HttpAddress platform, String credential) {
+      Path directory,
+      EntryInstance instance,
+      EntryInstance listening,
+      HttpAddress platform,
+      String credential) {
     String text =
         """
         [instance]
@@ -22,11 +32,13 @@
         host = %s
         [callers]
         port = %d
+        listen-port = %d
         [operators]
         port = %d
         credential = %s
         [peers]
         port = %d
+        listen-port = %d
         secret = bench-peers
         [platform]
         host = %s
@@ -38,9 +50,11 @@
                 instance.availabilityZone(),
                 instance.host(),
                 instance.callerPort(),
+                listening.callerPort(),
                 instance.operatorPort(),
                 credential,
                 instance.peerPort(),
+                listening.peerPort(),
                 platform.host(),
                 platform.port());
     try {
--- a/weirbench/src/main/java/org/corianderweir/bench/scenario/Experiment.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/scenario/Experiment.java
@@ -83,7 +83,7 @@
   private CallerZones callers(Fleet fleet) {
     return options.baseline()
         ? CallerZones.direct(layout, fleet.advertisedServers(), options.seed(), calls)
-        : CallerZones.steered(layout, options.seed(), keys, calls);
+        : CallerZones.steered(layout, fleet.advertisedInstances(), options.seed(), keys, calls);
   }
 
   private LoadPlan loadPlan() {
--- a/weirbench/src/test/java/org/corianderweir/bench/scenario/FleetSmokeTest.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/scenario/FleetSmokeTest.java
@@ -102,7 +102,8 @@
   public void aPlannedStopCutsNoRequest() {
     EntryInstance leaving = layout.entryInstances().getLast();
     CallJournal calls = new CallJournal();
-    try (CallerZones callers = CallerZones.steered(layout, SEED + 2, keys, calls)) {
+    try (CallerZones callers =
+        CallerZones.steered(layout, fleet.advertisedInstances(), SEED + 2, keys, calls)) {
       LoadRun load = load(callers, SEED + 2, List.of());
       load.start();
       stop(leaving);
@@ -128,7 +129,8 @@
 
   private Evidence sendThroughTheFleet(long seed) {
     CallJournal calls = new CallJournal();
-    try (CallerZones callers = CallerZones.steered(layout, seed, keys, calls)) {
+    try (CallerZones callers =
+        CallerZones.steered(layout, fleet.advertisedInstances(), seed, keys, calls)) {
       LoadRun load = load(callers, seed, List.of());
       load.start();
       assertEquals(load.awaitEnd(HANG_GUARD), true, "the load ended");
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -58,7 +58,14 @@
     ConfigurationService configuration =
         new ConfigurationService(new ConfigurationStore(platform), events, time);
     PeerTransport transport =
-        new PeerTransport(self, incarnation, settings.peerSecret(), events, metrics, time);
+        new PeerTransport(
+            self,
+            settings.listenPorts().peers(),
+            incarnation,
+            settings.peerSecret(),
+            events,
+            metrics,
+            time);
     membership =
         new MembershipService(
             self, incarnation, platform, control.loop(), events, configuration, transport, time);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/peer/PeerTransport.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/peer/PeerTransport.java
@@ -53,6 +53,7 @@
   private static final Duration IDLE_LIMIT = Duration.ofSeconds(60);
 
   private final EntryInstance self;
+  private final int listenPort;
   private final PeerIdentity identity;
   private final SharedSecret secret;
   private final EventLog events;
@@ -67,7 +68,7 @@
       Executors.newSingleThreadScheduledExecutor(
           task -> Thread.ofPlatform().daemon().name("peer-sweeper").unstarted(task));
 
-  /** Creates a transport that does not listen yet. */
+  /** Creates a transport that will listen on the port that the others know. */
   public PeerTransport(
       EntryInstance self,
       long incarnation,
@@ -75,7 +76,24 @@
       EventLog events,
       MetricRegistry metrics,
       TimeSource time) {
+    this(self, self.peerPort(), incarnation, secret, events, metrics, time);
+  }
+
+  /**
+   * Creates a transport that does not listen yet.
+   *
+   * @param listenPort TCP port to listen on, to which the port that the others know is forwarded
+   */
+  public PeerTransport(
+      EntryInstance self,
+      int listenPort,
+      long incarnation,
+      String secret,
+      EventLog events,
+      MetricRegistry metrics,
+      TimeSource time) {
     this.self = self;
+    this.listenPort = listenPort;
     this.identity = new PeerIdentity(self.name(), incarnation);
     this.secret = new SharedSecret(secret);
     this.events = events;
@@ -142,7 +160,7 @@
   @Override
   public void start(ServiceDirectory directory) {
     try {
-      transport.bind(self.host(), self.peerPort());
+      transport.bind(self.host(), listenPort);
       transport.start();
     } catch (IOException failure) {
       throw new WeirException(
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/settings/DaemonSettingDeclarations.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/settings/DaemonSettingDeclarations.java
@@ -11,6 +11,7 @@
   private static final int LOOKUP_MAXIMUM_MILLISECONDS = 600_000;
   private static final int BODY_LIMIT_MAXIMUM_BYTES = 64 * 1024 * 1024;
   private static final ValueKind<Integer> PORT = new ValueKind.WholeNumber(1, PORT_MAXIMUM);
+  private static final ValueKind<Integer> LISTEN_PORT = new ValueKind.WholeNumber(0, PORT_MAXIMUM);
   private static final ValueKind<String> SECRET = new ValueKind.Secret(SECRET_MINIMUM_LENGTH);
 
   static final Setting<String> INSTANCE_NAME =
@@ -26,6 +27,13 @@
           "instance", "host", new ValueKind.IpNumber(), "IP number of all its interfaces");
   static final Setting<Integer> CALLER_PORT =
       Setting.required("callers", "port", PORT, "TCP port for look-ups and requests");
+  static final Setting<Integer> CALLER_LISTEN_PORT =
+      Setting.optional(
+          "callers",
+          "listen-port",
+          LISTEN_PORT,
+          "0",
+          "TCP port to listen on if something forwards the other one to it; 0 means the other one");
   static final Setting<Duration> LOOKUP_LIFETIME =
       Setting.optional(
           "callers",
@@ -47,6 +55,13 @@
           "operators", "credential", SECRET, "secret that operators show with each call");
   static final Setting<Integer> PEER_PORT =
       Setting.required("peers", "port", PORT, "TCP port for the other entry instances");
+  static final Setting<Integer> PEER_LISTEN_PORT =
+      Setting.optional(
+          "peers",
+          "listen-port",
+          LISTEN_PORT,
+          "0",
+          "TCP port to listen on if something forwards the other one to it; 0 means the other one");
   static final Setting<String> PEER_SECRET =
       Setting.required(
           "peers",
@@ -69,11 +84,13 @@
         AVAILABILITY_ZONE,
         HOST,
         CALLER_PORT,
+        CALLER_LISTEN_PORT,
         LOOKUP_LIFETIME,
         BODY_LIMIT_BYTES,
         OPERATOR_PORT,
         OPERATOR_CREDENTIAL,
         PEER_PORT,
+        PEER_LISTEN_PORT,
         PEER_SECRET,
         PLATFORM_HOST,
         PLATFORM_PORT);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/settings/DaemonSettings.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/settings/DaemonSettings.java
@@ -8,6 +8,7 @@
  * The checked settings of a daemon.
  *
  * @param instance this entry instance and its addresses
+ * @param listenPorts ports that it listens on itself
  * @param platform address of the platform's service
  * @param operatorCredential secret that operators show
  * @param peerSecret secret that entry instances prove to each other
@@ -16,8 +17,18 @@
  */
 public record DaemonSettings(
     EntryInstance instance,
+    ListenPorts listenPorts,
     HttpAddress platform,
     String operatorCredential,
     String peerSecret,
     Duration lookupLifetime,
-    int bodyLimitBytes) {}
+    int bodyLimitBytes) {
+
+  /**
+   * The ports that a process listens on, where something before it forwards the ones others know.
+   *
+   * @param callers TCP port for callers
+   * @param peers TCP port for the other entry instances
+   */
+  public record ListenPorts(int callers, int peers) {}
+}
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/settings/SettingsReader.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/settings/SettingsReader.java
@@ -64,6 +64,7 @@
             value(DaemonSettingDeclarations.PLATFORM_PORT));
     return new DaemonSettings(
         instance,
+        listenPorts(instance),
         platform,
         value(DaemonSettingDeclarations.OPERATOR_CREDENTIAL),
         value(DaemonSettingDeclarations.PEER_SECRET),
@@ -71,6 +72,13 @@
         value(DaemonSettingDeclarations.BODY_LIMIT_BYTES));
   }
 
+  private DaemonSettings.ListenPorts listenPorts(EntryInstance instance) {
+    int callers = value(DaemonSettingDeclarations.CALLER_LISTEN_PORT);
+    int peers = value(DaemonSettingDeclarations.PEER_LISTEN_PORT);
+    return new DaemonSettings.ListenPorts(
+        callers == 0 ? instance.callerPort() : callers, peers == 0 ? instance.peerPort() : peers);
+  }
+
   private void reportUnknown() {
     for (Map.Entry<String, Profile.Section> entry : ini.entrySet()) {
       if (DaemonSettingDeclarations.all().stream()
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
@@ -90,7 +90,7 @@
             new HttpListenerOptions(
                 "callers",
                 self.host(),
-                self.callerPort(),
+                settings.listenPorts().callers(),
                 settings.bodyLimitBytes(),
                 WORKER_THREADS),
             this::answer);
--- a/weirdaemon/src/test/java/org/corianderweir/daemon/settings/SettingsReaderTest.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/settings/SettingsReaderTest.java
@@ -41,6 +41,7 @@
     DaemonSettings expected =
         new DaemonSettings(
             new EntryInstance("entry-1", "lagos", "lagos-1", "127.1.1.1", 8000, 8001, 8002),
+            new DaemonSettings.ListenPorts(8000, 8002),
             new HttpAddress("127.1.0.1", 8003),
             "operators-secret",
             "peers-secret",
@@ -55,6 +56,7 @@
       {"[callers]\nport = 8000", "[callers]", "[callers] port: missing"},
       {"port = 8000", "port = many", "[callers] port: read 'many'"},
       {"port = 8000", "port = 0", "[callers] port: read '0'"},
+      {"port = 8000", "port = 8000\nlisten-port = -1", "[callers] listen-port: read '-1'"},
       {"port = 8000", "port = 65536", "[callers] port: read '65536'"},
       {"port = 8000", "port = 8000\nport = 8005", "[callers] port: given 2 times"},
       {"host = 127.1.1.1", "host = localhost", "[instance] host: read 'localhost'"},
