--- a/weirctl/src/main/java/org/corianderweir/ctl/CommandTree.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/CommandTree.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.JCommander;
 import java.util.List;
 import java.util.Objects;
+import org.corianderweir.ctl.command.ClientBlockCommands;
 import org.corianderweir.ctl.command.ConfigurationCommands;
 import org.corianderweir.ctl.command.DrainCommands;
 import org.corianderweir.ctl.command.InstanceCommands;
@@ -11,6 +12,7 @@
 import org.corianderweir.ctl.command.OrganisationCommands;
 import org.corianderweir.ctl.command.SelectorCommands;
 import org.corianderweir.ctl.command.ShiftCommands;
+import org.corianderweir.ctl.command.SiteCommands;
 import org.corianderweir.ctl.command.TimelineCommand;
 
 /** Builds the commands and groups of commands that the command line knows. */
@@ -43,6 +45,14 @@
     add(organisations, options, "set", new OrganisationCommands.SetCommand());
     add(organisations, options, "remove", new OrganisationCommands.RemoveCommand());
     add(root, options, "limits", new OrganisationCommands.LimitsCommand());
+    JCommander sites = group(root, options, "sites", new SiteCommands());
+    add(sites, options, "list", new SiteCommands.ListCommand());
+    add(sites, options, "set", new SiteCommands.SetCommand());
+    add(sites, options, "remove", new SiteCommands.RemoveCommand());
+    JCommander blocks = group(root, options, "blocks", new ClientBlockCommands());
+    add(blocks, options, "find", new ClientBlockCommands.FindCommand());
+    add(blocks, options, "steer", new ClientBlockCommands.SteerCommand());
+    add(blocks, options, "remove", new ClientBlockCommands.RemoveCommand());
     JCommander keys = group(root, options, "keys", new KeyCommands());
     add(keys, options, "list", new KeyCommands.ListCommand());
     add(keys, options, "issue", new KeyCommands.IssueCommand());
--- /dev/null
+++ b/weirctl/src/main/java/org/corianderweir/ctl/command/SiteCommands.java
@@ -0,0 +1,63 @@
+package org.corianderweir.ctl.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import org.corianderweir.ctl.Command;
+import org.corianderweir.ctl.Result;
+import org.corianderweir.ctl.Session;
+import org.corianderweir.ctl.TextTable;
+import org.corianderweir.model.configuration.Site;
+import org.corianderweir.protocol.operator.ClientBlockMessages;
+import org.corianderweir.protocol.operator.Operations;
+
+/** Commands about the sites that client blocks are steered to. */
+@Parameters(commandDescription = "sites: list, set, remove")
+public final class SiteCommands {
+  /** Lists all sites. */
+  @Parameters(commandDescription = "list the sites with their availability zones")
+  public static final class ListCommand implements Command {
+    @Override
+    public Result run(Session session) {
+      ClientBlockMessages.Sites sites = session.read(Operations.SITES);
+      TextTable table = new TextTable("NUMBER", "SITE", "AVAILABILITY ZONE");
+      for (Site site : sites.sites()) {
+        table.add(site.number(), site.name(), site.availabilityZone());
+      }
+      return new Result(sites, table.lines());
+    }
+  }
+
+  /** Adds or replaces a site. */
+  @Parameters(commandDescription = "add or replace a site")
+  public static final class SetCommand implements Command {
+    @Parameter(description = "NAME of the site", required = true)
+    private String name = "";
+
+    @Parameter(names = "--number", description = "number from 0 to 65534", required = true)
+    private int number;
+
+    @Parameter(
+        names = "--zone",
+        description = "availability zone that serves the site's clients",
+        required = true)
+    private String zone = "";
+
+    @Override
+    public Result run(Session session) {
+      return session.change(
+          Operations.SET_SITE, new ClientBlockMessages.SetSite(new Site(number, name, zone)));
+    }
+  }
+
+  /** Removes a site. */
+  @Parameters(commandDescription = "remove a site that no client block names")
+  public static final class RemoveCommand implements Command {
+    @Parameter(description = "NAME of the site", required = true)
+    private String name = "";
+
+    @Override
+    public Result run(Session session) {
+      return session.change(Operations.REMOVE_SITE, new ClientBlockMessages.SiteName(name));
+    }
+  }
+}
--- /dev/null
+++ b/weirctl/src/test/java/org/corianderweir/ctl/ClientBlockCommandsTest.java
@@ -0,0 +1,95 @@
+package org.corianderweir.ctl;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.corianderweir.model.configuration.Site;
+import org.corianderweir.model.topology.InstanceState;
+import org.corianderweir.protocol.OperatorMessages;
+import org.corianderweir.protocol.operator.ClientBlockMessages;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Runs the commands about sites and client blocks against a fake of the operators' interface. */
+public class ClientBlockCommandsTest {
+  private static final Site SITE = new Site(12, "ikeja", "lagos-1");
+
+  private final FakeOperators operators = new FakeOperators();
+
+  /** Prepares the answers that all commands get. */
+  @BeforeClass
+  public void startOperators() {
+    operators.start();
+    operators.reply(
+        "GET /status", new OperatorMessages.Status("entry-1", InstanceState.SERVING, 7, 2));
+    operators.reply("GET /sites", new ClientBlockMessages.Sites(List.of(SITE), 1));
+    operators.reply(
+        "POST /client-blocks/find",
+        new ClientBlockMessages.Steering(
+            "10.1.7.9", Optional.of("10.1.0.0/16"), Optional.of(SITE)));
+    for (String change :
+        List.of("sites/set", "sites/remove", "client-blocks/steer", "client-blocks/remove")) {
+      operators.reply("POST /" + change, new OperatorMessages.Accepted(8));
+    }
+  }
+
+  @AfterClass
+  public void stopOperators() {
+    operators.stop();
+  }
+
+  @DataProvider
+  public static Object[][] commands() {
+    return new Object[][] {
+      {"sites list", "12      ikeja  lagos-1", "GET /sites"},
+      {
+        "sites set ikeja --number 12 --zone lagos-1",
+        "accepted as revision 8",
+        "POST /sites/set {\"site\":{\"number\":12,\"name\":\"ikeja\","
+            + "\"availabilityZone\":\"lagos-1\"}}"
+      },
+      {"sites remove ikeja", "accepted as revision 8", "POST /sites/remove {\"site\":\"ikeja\"}"},
+      {
+        "blocks find 10.1.7.9",
+        "10.1.7.9  10.1.0.0/16  ikeja  lagos-1",
+        "POST /client-blocks/find {\"client\":\"10.1.7.9\"}"
+      },
+      {
+        "blocks steer 10.1.0.0/16 10.2.0.0/16 --site ikeja",
+        "accepted as revision 8",
+        "POST /client-blocks/steer {\"prefixes\":[\"10.1.0.0/16\",\"10.2.0.0/16\"],"
+            + "\"site\":\"ikeja\"}"
+      },
+      {
+        "blocks remove 10.1.0.0/16",
+        "accepted as revision 8",
+        "POST /client-blocks/remove {\"prefixes\":[\"10.1.0.0/16\"]}"
+      }
+    };
+  }
+
+  @Test(dataProvider = "commands")
+  public void sendsTheRequestAndShowsTheAnswer(String command, String lastLine, String request) {
+    ByteArrayOutputStream output = new ByteArrayOutputStream();
+    CommandLine commandLine =
+        new CommandLine(
+            Map.of(
+                ConnectionOptions.INSTANCES_VARIABLE,
+                operators.address(),
+                ConnectionOptions.CREDENTIAL_VARIABLE,
+                FakeOperators.CREDENTIAL),
+            new PrintStream(output, true, StandardCharsets.UTF_8),
+            new PrintStream(output, true, StandardCharsets.UTF_8));
+    commandLine.run(command.split(" "));
+    String call = operators.calls().getLast().replaceFirst("\\?[^ ]*", "");
+    String shown = output.toString(StandardCharsets.UTF_8).lines().toList().getLast();
+    assertEquals(List.of(shown, call), List.of(lastLine, request));
+  }
+}
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorService.java
@@ -52,6 +52,7 @@
     new LabelOperations(context).register(routes);
     new SelectorOperations(context, writer).register(routes);
     new OrganisationOperations(context).register(routes);
+    new ClientBlockOperations(context).register(routes);
     new KeyOperations(context, writer).register(routes);
     new DrainOperations(context).register(routes);
     new ShiftOperations(context).register(routes);
--- a/weirlib/src/main/java/org/corianderweir/protocol/operator/Operations.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/operator/Operations.java
@@ -115,6 +115,45 @@
               OrganisationMessages.OrganisationName.class,
               OperatorMessages.Accepted.class);
 
+  /** All sites. */
+  public static final Operation<Operation.NoRequest, ClientBlockMessages.Sites> SITES =
+      Operation.get("/sites", ClientBlockMessages.Sites.class);
+
+  /** Adds or replaces a site. */
+  public static final Operation<ClientBlockMessages.SetSite, OperatorMessages.Accepted> SET_SITE =
+      Operation.post(
+          "/sites/set", ClientBlockMessages.SetSite.class, OperatorMessages.Accepted.class);
+
+  /** Removes a site that no client block names. */
+  public static final Operation<ClientBlockMessages.SiteName, OperatorMessages.Accepted>
+      REMOVE_SITE =
+          Operation.post(
+              "/sites/remove", ClientBlockMessages.SiteName.class, OperatorMessages.Accepted.class);
+
+  /** Where a client is steered. */
+  public static final Operation<ClientBlockMessages.Client, ClientBlockMessages.Steering>
+      CLIENT_STEERING =
+          Operation.post(
+              "/client-blocks/find",
+              ClientBlockMessages.Client.class,
+              ClientBlockMessages.Steering.class);
+
+  /** Steers client blocks to a site. */
+  public static final Operation<ClientBlockMessages.SteerBlocks, OperatorMessages.Accepted>
+      STEER_BLOCKS =
+          Operation.post(
+              "/client-blocks/steer",
+              ClientBlockMessages.SteerBlocks.class,
+              OperatorMessages.Accepted.class);
+
+  /** Removes client blocks. */
+  public static final Operation<ClientBlockMessages.Blocks, OperatorMessages.Accepted>
+      REMOVE_BLOCKS =
+          Operation.post(
+              "/client-blocks/remove",
+              ClientBlockMessages.Blocks.class,
+              OperatorMessages.Accepted.class);
+
   /** The limits of organisations, regions and links. */
   public static final Operation<Operation.NoRequest, OrganisationMessages.Limits> LIMITS =
       Operation.get("/limits", OrganisationMessages.Limits.class);
