Lend tokens of small limits and rate of large ones; compare with fixed slices and a single owner

Cause: rate lent on an estimate of need with 25% reserve starved the last of three busy instances, and slices of small limits held no whole token.

--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -3,16 +3,22 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.corianderweir.bench.backend.BackendStandIn;
+import org.corianderweir.bench.backend.JournalFile;
 import org.corianderweir.bench.backend.ServerPlan;
 import org.corianderweir.bench.demo.Demonstration;
 import org.corianderweir.bench.deployment.DeploymentFiles;
+import org.corianderweir.bench.limits.LimitsExperiment;
+import org.corianderweir.bench.limits.ScaleExperiment;
 import org.corianderweir.bench.lookup.LookupExperiment;
+import org.corianderweir.bench.platform.PlatformRates;
 import org.corianderweir.bench.platform.PlatformStandIn;
+import org.corianderweir.daemon.SystemTimeSource;
 import org.openjdk.jmh.runner.Runner;
 import org.openjdk.jmh.runner.RunnerException;
 import org.openjdk.jmh.runner.options.OptionsBuilder;
@@ -36,9 +42,16 @@
     @Parameter(names = "--port", required = true, description = "TCP port to listen on")
     private int port;
 
+    @Parameter(names = "--writes-per-second", description = "writes above are refused")
+    private int writesPerSecond = PlatformRates.USUAL.writesPerSecond();
+
+    @Parameter(names = "--reads-per-second", description = "reads above are refused")
+    private int readsPerSecond = PlatformRates.USUAL.readsPerSecond();
+
     @Override
     public int run() throws InterruptedException {
-      new PlatformStandIn(host, port).start();
+      PlatformRates rates = new PlatformRates(writesPerSecond, readsPerSecond);
+      new PlatformStandIn(host, port, rates, new SystemTimeSource()).start();
       new CountDownLatch(1).await();
       return 0;
     }
@@ -52,10 +65,15 @@
         description = "name/host/port/slots/service ms/cold ms/cold factor; may be repeated")
     private List<String> servers = new ArrayList<>();
 
+    @Parameter(names = "--journal", description = "file that the journals are written to")
+    private String journal = "";
+
     @Override
     public int run() throws InterruptedException {
+      JournalFile file =
+          journal.isEmpty() ? JournalFile.none() : JournalFile.create(Path.of(journal));
       for (String server : servers) {
-        new BackendStandIn(ServerPlan.fromArgument(server)).start();
+        new BackendStandIn(ServerPlan.fromArgument(server), file).start();
       }
       new CountDownLatch(1).await();
       return 0;
@@ -107,6 +125,27 @@
     }
   }
 
+  /** Compares ways to hold organisations to their rates. */
+  private static final class LimitsCommand implements Command {
+    @Parameter(names = "--seed", description = "seed of the arrivals")
+    private long seed = 1;
+
+    @Parameter(names = "--scale", description = "count messages at growing sizes instead")
+    private boolean scale;
+
+    @Override
+    public int run() {
+      if (scale) {
+        new ScaleExperiment(seed).run(6, 3, System.out);
+        new ScaleExperiment(seed).run(10, 9, System.out);
+        new ScaleExperiment(seed).run(18, 25, System.out);
+        new ScaleExperiment(seed).run(40, 68, System.out);
+        return 0;
+      }
+      return new LimitsExperiment(seed, System.out).run();
+    }
+  }
+
   /** Runs the command that the arguments name. */
   public static void main(String[] arguments) throws InterruptedException {
     Map<String, Command> commands =
@@ -114,6 +153,7 @@
             "platform", new PlatformCommand(),
             "backend", new BackendCommand(),
             "demo", new DemoCommand(),
+            "limits-experiment", new LimitsCommand(),
             "look-up", new LookupCommand(),
             "benchmark", new BenchmarkCommand());
     JCommander commander = JCommander.newBuilder().programName("weirbench").build();
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -12,6 +12,7 @@
 import org.corianderweir.daemon.peer.PeerTransport;
 import org.corianderweir.daemon.platform.HttpPlatformService;
 import org.corianderweir.daemon.settings.DaemonSettings;
+import org.corianderweir.daemon.steering.SteeringService;
 import org.corianderweir.daemon.traffic.TrafficService;
 import org.corianderweir.http.HttpClient;
 import org.corianderweir.http.HttpClientOptions;
@@ -49,7 +50,9 @@
                     PLATFORM_IDLE_LIFETIME,
                     PLATFORM_ANSWER_LIMIT_BYTES)
                 .from(self.host()));
-    HttpPlatformService platform = new HttpPlatformService(platformClient, settings.platform());
+    HttpPlatformService platform =
+        new HttpPlatformService(
+            platformClient, settings.platform(), metrics.meter("platform.calls"));
     ControlService control = new ControlService(events);
     ConfigurationService configuration = new ConfigurationService(platform, control.loop(), events);
     PeerTransport transport =
@@ -68,8 +71,11 @@
             .withTransport(transport)
             .withTime(time)
             .build();
+    SteeringService steering =
+        new SteeringService(self.region(), configuration, control.loop(), events, time);
     TrafficService traffic =
-        new TrafficService(settings, configuration, membership, limits, events, metrics, time);
+        new TrafficService(
+            settings, configuration, membership, limits, steering, events, metrics, time);
     OperatorService operators =
         new OperatorService(
             settings, configuration, membership, events, metrics, stopRequested::countDown);
@@ -80,6 +86,7 @@
         .register(PeerTransport.NAME, transport)
         .register(MembershipService.NAME, membership)
         .register(LimitService.NAME, limits)
+        .register(SteeringService.NAME, steering)
         .register(OperatorService.NAME, operators)
         .register(TrafficService.NAME, traffic);
   }
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/AdmissionGate.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/AdmissionGate.java
@@ -19,6 +19,7 @@
   private final Deque<Waiting> waiting = new ArrayDeque<>();
   private volatile int waitingCount;
   private volatile double reachableRate;
+  private volatile double heldRate;
 
   private record Waiting(Waiter waiter, long deadlineNanoseconds) {}
 
@@ -46,6 +47,11 @@
     return bucket;
   }
 
+  /** Sets the rate that this instance holds now, from which the time to retry is worked out. */
+  public void setHeldRate(double tokensPerSecond) {
+    heldRate = tokensPerSecond;
+  }
+
   /** Sets the largest rate that this instance can get by loans, tokens a second. */
   public void setReachableRate(double tokensPerSecond) {
     reachableRate = tokensPerSecond;
@@ -80,7 +86,7 @@
 
   /** Returns how long a refused caller should wait before it tries again. */
   public long retryAfterMilliseconds() {
-    double rate = reachableRate;
+    double rate = heldRate;
     if (rate <= 0) {
       return RETRY_WITHOUT_RATE_MILLISECONDS;
     }
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/LenderRanking.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/LenderRanking.java
@@ -11,13 +11,14 @@
  * told last. One that had none, or is silent, is left alone for a while. Not thread-safe.
  */
 final class LenderRanking {
-  private static final long DENIED_PAUSE_NANOSECONDS = 250_000_000L;
-  private static final long SILENT_PAUSE_NANOSECONDS = 400_000_000L;
+  private static final long FIRST_PAUSE_NANOSECONDS = 20_000_000L;
+  private static final int LARGEST_DOUBLINGS = 5;
+  private static final long SILENT_PAUSE_NANOSECONDS = 300_000_000L;
 
   private final Map<String, Known> known = new HashMap<>();
   private List<Lender> lenders = List.of();
 
-  private record Known(Allowance surplus, long askAgainNanoseconds, boolean denied) {}
+  private record Known(Allowance surplus, long askAgainNanoseconds, int denials) {}
 
   void setLenders(List<Lender> changed) {
     lenders = List.copyOf(changed);
@@ -44,28 +45,22 @@
   /** Returns what a lender will probably grant; a lender never heard of counts as the default. */
   Allowance expected(String lender, Allowance unknownDefault) {
     Known state = known.get(lender);
-    return state == null || state.denied() ? unknownDefault : state.surplus();
+    return state == null || state.denials() > 0 ? unknownDefault : state.surplus();
   }
 
   /** Notes that a lender was asked, so that it is asked again only after it could answer. */
   void asked(String lender, Allowance expected, long nowNanoseconds) {
-    known.put(lender, new Known(expected, nowNanoseconds + SILENT_PAUSE_NANOSECONDS, false));
+    Known before = known.get(lender);
+    int denials = before == null ? 0 : before.denials();
+    known.put(lender, new Known(expected, nowNanoseconds + SILENT_PAUSE_NANOSECONDS, denials));
   }
 
   void answered(String lender, boolean granted, Allowance surplus, long nowNanoseconds) {
+    Known before = known.get(lender);
+    int denials = granted || before == null ? 0 : before.denials() + 1;
     boolean more = granted && !surplus.isEmpty();
-    long again = more ? nowNanoseconds : nowNanoseconds + DENIED_PAUSE_NANOSECONDS;
-    known.put(lender, new Known(surplus, again, !granted));
-  }
-
-  /** Returns whether every lender denied its last request. */
-  boolean allDenied() {
-    return lenders.stream()
-        .allMatch(
-            lender -> {
-              Known state = known.get(lender.name());
-              return state != null && state.denied();
-            });
+    long pause = FIRST_PAUSE_NANOSECONDS << Math.min(denials, LARGEST_DOUBLINGS);
+    known.put(lender, new Known(surplus, more ? nowNanoseconds : nowNanoseconds + pause, denials));
   }
 
   private double surplusOf(Lender lender) {
