--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -30,7 +30,7 @@
   private BenchMain() {}
 
   /** A command of the program. */
-  private interface Command {
+  interface Command {
     int run() throws InterruptedException;
   }
 
@@ -154,6 +154,7 @@
             "backend", new BackendCommand(),
             "demo", new DemoCommand(),
             "limits-experiment", new LimitsCommand(),
+            "run", new RunCommand(),
             "look-up", new LookupCommand(),
             "benchmark", new BenchmarkCommand());
     JCommander commander = JCommander.newBuilder().programName("weirbench").build();
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -4,10 +4,12 @@
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import org.corianderweir.daemon.control.ConfigurationService;
+import org.corianderweir.daemon.control.ConfigurationStore;
 import org.corianderweir.daemon.control.ControlService;
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.daemon.control.LimitService;
 import org.corianderweir.daemon.control.MembershipService;
+import org.corianderweir.daemon.operator.OperatorContext;
 import org.corianderweir.daemon.operator.OperatorService;
 import org.corianderweir.daemon.peer.PeerTransport;
 import org.corianderweir.daemon.platform.HttpPlatformService;
@@ -54,9 +56,17 @@
         new HttpPlatformService(
             platformClient, settings.platform(), metrics.meter("platform.calls"));
     ControlService control = new ControlService(events);
-    ConfigurationService configuration = new ConfigurationService(platform, control.loop(), events);
+    ConfigurationService configuration =
+        new ConfigurationService(new ConfigurationStore(platform), events, time);
     PeerTransport transport =
-        new PeerTransport(self, incarnation, settings.peerSecret(), events, metrics, time);
+        new PeerTransport(
+            self,
+            settings.listenPorts().peers(),
+            incarnation,
+            settings.peerSecret(),
+            events,
+            metrics,
+            time);
     membership =
         new MembershipService(
             self, incarnation, platform, control.loop(), events, configuration, transport, time);
@@ -78,7 +88,15 @@
             settings, configuration, membership, limits, steering, events, metrics, time);
     OperatorService operators =
         new OperatorService(
-            settings, configuration, membership, events, metrics, stopRequested::countDown);
+            new OperatorContext(
+                settings,
+                configuration,
+                membership,
+                steering,
+                events,
+                metrics,
+                time,
+                stopRequested::countDown));
     kernel
         .register(EventLog.NAME, events)
         .register(ControlService.NAME, control)
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/control/LimitService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/control/LimitService.java
@@ -126,6 +126,11 @@
     return permits("region/" + region);
   }
 
+  /** Returns the permits of a selector; empty if it has no limit of its own. */
+  public Optional<ConcurrencyPermits> selectorPermits(String selector) {
+    return permits("selector/" + selector);
+  }
+
   /** Returns the gate of a link between regions, in bits; any thread may call this. */
   public Optional<AdmissionGate> link(String fromRegion, String toRegion) {
     FleetLimits current = limits;
@@ -200,6 +205,12 @@
             (Region region) ->
                 defineConcurrency(
                     current, "region/" + region.name(), region.concurrency(), names, now));
+    changed.selectors().stream()
+        .filter(selector -> selector.concurrency() > 0)
+        .forEach(
+            selector ->
+                defineConcurrency(
+                    current, "selector/" + selector.name(), selector.concurrency(), names, now));
     for (Link link : changed.links()) {
       String name = "link/" + link.fromRegion() + '/' + link.toRegion();
       double bits = link.megabitsPerSecond() * BITS_PER_MEGABIT;
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/steering/CapacityPermit.java
@@ -0,0 +1,11 @@
+package org.corianderweir.daemon.steering;
+
+/** Room for one request in its region and on its links; must be released once. */
+public interface CapacityPermit {
+  /**
+   * Gives the room back.
+   *
+   * @param answerBytes bytes that the answer had; zero if there was none
+   */
+  void release(long answerBytes);
+}
--- a/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationProblem.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationProblem.java
@@ -16,12 +16,18 @@
     REGION_UNKNOWN,
     /** An item names an availability zone that there is not. */
     ZONE_UNKNOWN,
+    /** A client block names a site that there is not. */
+    SITE_UNKNOWN,
     /** An item names an organisation that there is not. */
     ORGANISATION_UNKNOWN,
     /** A selector names a service that no backend server runs. */
     SERVICE_WITHOUT_SERVER,
     /** Two selectors have the same path prefix. */
     PATH_AMBIGUOUS,
+    /** A selector names a backend server that there is not. */
+    SERVER_UNKNOWN,
+    /** A selector has no destination that can get traffic, or too many. */
+    DESTINATION_INVALID,
     /** A limit is zero, negative or not a number. */
     LIMIT_INVALID,
     /** An item has two values for the same label. */
--- a/weirlib/src/main/java/org/corianderweir/logic/steering/explain/SteeringExplainer.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/steering/explain/SteeringExplainer.java
@@ -16,7 +16,6 @@
 import org.corianderweir.logic.steering.explain.Explanation.Stage;
 import org.corianderweir.logic.steering.grammar.SelectorFormatter;
 import org.corianderweir.model.configuration.Configuration;
-import org.corianderweir.model.configuration.Destination;
 import org.corianderweir.model.configuration.DestinationShare;
 import org.corianderweir.model.configuration.LabelCondition;
 import org.corianderweir.model.configuration.Selector;
@@ -143,7 +142,7 @@
     return new Stage("eligible backend server", candidates);
   }
 
-  private static Optional<String> fault(Selector selector, ServerPlace place) {
+  private Optional<String> fault(Selector selector, ServerPlace place) {
     if (!place.server().service().equals(selector.service())) {
       return Optional.of("runs service " + place.server().service());
     }
@@ -151,11 +150,9 @@
       return Optional.of("is drained");
     }
     List<String> mismatches = new ArrayList<>();
-    for (Destination destination : selector.destinations()) {
+    for (DestinationShare part : ShiftPath.shares(selector, wallMilliseconds)) {
       Optional<LabelCondition> failed =
-          destination.conditions().stream()
-              .filter(condition -> !place.matches(condition))
-              .findFirst();
+          part.conditions().stream().filter(condition -> !place.matches(condition)).findFirst();
       if (failed.isEmpty()) {
         return Optional.empty();
       }
--- a/weirlib/src/main/java/org/corianderweir/protocol/Json.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/Json.java
@@ -2,10 +2,13 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
 
@@ -59,6 +62,31 @@
     }
   }
 
+  /** Returns the fields of a flat record as texts, without those that are absent. */
+  public static Map<String, String> toFields(Object value) {
+    Map<String, String> fields = new LinkedHashMap<>();
+    for (Map.Entry<String, JsonNode> field : toTree(value).properties()) {
+      if (!field.getValue().isNull()) {
+        fields.put(field.getKey(), field.getValue().asText());
+      }
+    }
+    return fields;
+  }
+
+  /**
+   * Makes a record of named texts.
+   *
+   * @throws WeirException with code {@code JSON_INVALID}
+   */
+  public static <T> T fromFields(Map<String, String> fields, Class<T> type) {
+    try {
+      return MAPPER.convertValue(fields, type);
+    } catch (IllegalArgumentException failure) {
+      String reason = "not a " + type.getSimpleName() + ": " + failure.getMessage();
+      throw new WeirException(ErrorCode.JSON_INVALID, reason, failure);
+    }
+  }
+
   /** Returns an object without fields. */
   static ObjectNode emptyObject() {
     return MAPPER.createObjectNode();
