--- a/weirlib/src/main/java/org/corianderweir/logic/limits/slots/CellMember.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/slots/CellMember.java
@@ -261,21 +261,10 @@
     if (released.isPresent() || release.isLeaving()) {
       return released;
     }
-    if (nowNanoseconds - startedNanoseconds >= LimitTiming.TAKEOVER.toNanos()) {
-      Optional<SlotHolder> earlier =
-          register.distinctHolders().stream().filter(self::replaces).findFirst();
-      if (earlier.isPresent()) {
-        return Optional.of(register.with(register.slotsOf(earlier.get()), Optional.of(self)));
-      }
-    }
-    int quota = Math.ceilDiv(register.holders().size(), Math.max(1, zoneMembers));
-    int wanted = quota - register.slotsOf(self).size();
-    List<Integer> free = register.freeSlots();
-    if (wanted <= 0 || free.isEmpty()) {
-      return Optional.empty();
-    }
-    return Optional.of(
-        register.with(free.subList(0, Math.min(wanted, free.size())), Optional.of(self)));
+    boolean mayReplace = nowNanoseconds - startedNanoseconds >= LimitTiming.TAKEOVER.toNanos();
+    Optional<CellRegister> replaced =
+        mayReplace ? SlotClaims.replaceEarlierRun(register, self) : Optional.empty();
+    return replaced.or(() -> SlotClaims.takeFree(register, self, zoneMembers));
   }
 
   private SlotAction write(CellRegister register, long nowNanoseconds) {
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/slots/SlotClaims.java
@@ -0,0 +1,29 @@
+package org.corianderweir.logic.limits.slots;
+
+import java.util.List;
+import java.util.Optional;
+
+/** The changes of a register that an instance may make without a vote. */
+final class SlotClaims {
+  private SlotClaims() {}
+
+  /** Takes the slots of an earlier run at the same address, which that run's end proves. */
+  static Optional<CellRegister> replaceEarlierRun(CellRegister register, SlotHolder self) {
+    return register.distinctHolders().stream()
+        .filter(self::replaces)
+        .findFirst()
+        .map(earlier -> register.with(register.slotsOf(earlier), Optional.of(self)));
+  }
+
+  /** Takes free slots, up to an even share of the zone's live instances. */
+  static Optional<CellRegister> takeFree(CellRegister register, SlotHolder self, int zoneMembers) {
+    int quota = Math.ceilDiv(register.holders().size(), Math.max(1, zoneMembers));
+    int wanted = quota - register.slotsOf(self).size();
+    List<Integer> free = register.freeSlots();
+    if (wanted <= 0 || free.isEmpty()) {
+      return Optional.empty();
+    }
+    List<Integer> taken = free.subList(0, Math.min(wanted, free.size()));
+    return Optional.of(register.with(taken, Optional.of(self)));
+  }
+}
