--- a/weirlib/src/main/java/org/corianderweir/logic/limits/BorrowedLimit.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/BorrowedLimit.java
@@ -9,13 +9,13 @@
 
 /** The borrower's side of one limit: what was asked for, what is borrowed, when to renew. */
 final class BorrowedLimit {
-  private static final int REQUESTS_PER_TICK = 6;
+  private static final int REQUESTS_PER_TICK = 16;
   private static final int RENEWALS_PER_LIFETIME = 4;
   private static final long SHORTEST_USE_NANOSECONDS = 200_000_000L;
   private static final long ANSWER_EXPECTED_NANOSECONDS = 400_000_000L;
-  private static final double GIVE_BACK_FACTOR = 1.1;
   private static final double SMALLEST_RATE = 1e-3;
-  private static final double SMALLEST_CAPACITY = 0.05;
+  private static final double RATE_LOAN_SLICE_PER_SECOND = 20;
+  private static final double SMALLEST_CAPACITY = 1e-6;
 
   private final String name;
   private final LendableSlice slice;
@@ -60,7 +60,7 @@
       List<AddressedMessage<LoanMessage>> messages) {
     forgetEnded(nowNanoseconds);
     LendableSlice.Position position = slice.position(nowNanoseconds);
-    if (position.needed().isEmpty() && loans.isEmpty()) {
+    if (position.missing().isEmpty() && loans.isEmpty()) {
       return;
     }
     giveBackSurplus(position, nowNanoseconds, messages);
@@ -134,12 +134,13 @@
       LendableSlice.Position position,
       long nowNanoseconds,
       List<AddressedMessage<LoanMessage>> messages) {
-    double spareRate = position.held().rate() - position.needed().rate() * GIVE_BACK_FACTOR;
-    double spareCapacity =
-        position.held().capacity() - position.needed().capacity() * GIVE_BACK_FACTOR;
+    double spareRate = position.spare().rate();
+    double spareCapacity = position.spare().capacity();
     for (Map.Entry<LoanIdentifier, Loan> entry : List.copyOf(loans.entrySet())) {
       Loan loan = entry.getValue();
-      boolean used = nowNanoseconds - loan.borrowedNanoseconds() < SHORTEST_USE_NANOSECONDS;
+      boolean used =
+          loan.allowance().rate() > 0
+              && nowNanoseconds - loan.borrowedNanoseconds() < SHORTEST_USE_NANOSECONDS;
       boolean spare =
           loan.allowance().rate() <= spareRate && loan.allowance().capacity() <= spareCapacity;
       if (!used && spare && giveBack(entry.getKey(), nowNanoseconds, messages)) {
@@ -193,7 +194,7 @@
       long nowNanoseconds,
       RandomGenerator random,
       List<AddressedMessage<LoanMessage>> messages) {
-    Allowance missing = position.needed().minus(position.held());
+    Allowance missing = worthAsking(position.missing());
     for (Asked asked : pending.values()) {
       if (nowNanoseconds - asked.askedNanoseconds() < ANSWER_EXPECTED_NANOSECONDS) {
         missing = missing.minus(asked.expected());
@@ -219,6 +220,16 @@
     }
   }
 
+  /**
+   * Slices of small limits hold a few tokens: rate that is lent would be of no use before it makes
+   * a whole token, so only tokens move.
+   */
+  private Allowance worthAsking(Allowance missing) {
+    return typicalSlice.rate() < RATE_LOAN_SLICE_PER_SECOND
+        ? new Allowance(0, missing.capacity())
+        : missing;
+  }
+
   private static boolean isSmall(Allowance missing) {
     return missing.rate() < SMALLEST_RATE && missing.capacity() < SMALLEST_CAPACITY;
   }
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/ConcurrencyPermits.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/ConcurrencyPermits.java
@@ -135,7 +135,9 @@
     double needed = idle ? 0 : Math.max(held, peak) + waiting + RESERVE_PERMITS;
     peak = held;
     waiting = 0;
-    return new Position(new Allowance(0, total), new Allowance(0, needed), total - held);
+    return new Position(
+        new Allowance(0, Math.max(0, needed - total)),
+        new Allowance(0, Math.max(0, total - needed)));
   }
 
   private double spare(long nowNanoseconds) {
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/FleetLimits.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/FleetLimits.java
@@ -25,6 +25,7 @@
   /** Time after a change of shape during which no slice grows, so that all learn of it first. */
   public static final long SETTLE_NANOSECONDS = 10_000_000_000L;
 
+  private static final long APPLY_PERIOD_NANOSECONDS = 100_000_000L;
   private static final long RETIRED_NANOSECONDS = 60_000_000_000L;
   private static final long RATE_LOAN_NANOSECONDS = LimitTiming.LOAN_LIFETIME.toNanos();
 
@@ -33,6 +34,10 @@
   private final LoanBroker broker;
   private final Map<String, Limited> limits = new ConcurrentHashMap<>();
   private final Map<String, Retired> retired = new HashMap<>();
+  private List<Lender> lenders = List.of();
+  private List<Integer> appliedSlots = List.of();
+  private long appliedNanoseconds;
+  private long appliedValidUntil = Long.MIN_VALUE;
   private FleetShape shape;
   private FleetShape formerShape;
   private long settledNanoseconds = Long.MIN_VALUE;
@@ -61,6 +66,7 @@
     this.zone = zone;
     this.shape = shape;
     this.formerShape = shape;
+    this.appliedNanoseconds = nowNanoseconds;
     this.member = new CellMember(self, shape.slotsPerZone(), nowNanoseconds);
     this.broker = new LoanBroker(self.instance(), self.incarnation());
   }
@@ -72,12 +78,15 @@
 
   /** Changes the zones of the fleet; slices shrink at once and grow after the settling time. */
   public void reshape(FleetShape changed, long nowNanoseconds) {
-    if (!changed.equals(shape)) {
+    if (changed.equals(shape)) {
+      return;
+    }
+    if (!shape.zones().isEmpty()) {
       formerShape = shape;
-      shape = changed;
       settledNanoseconds = nowNanoseconds + SETTLE_NANOSECONDS;
-      apply(nowNanoseconds);
     }
+    shape = changed;
+    apply(nowNanoseconds);
   }
 
   /** Defines or changes a limit on a rate. */
@@ -94,6 +103,7 @@
         known == null
             ? new AdmissionGate(bucket, limit.rate())
             : known.gate().orElseGet(() -> new AdmissionGate(bucket, limit.rate()));
+    gate.setReachableRate(limit.rate());
     put(limitName, new Limited(limit, bucket, Optional.of(gate), 0), RATE_LOAN_NANOSECONDS);
     apply(nowNanoseconds);
   }
@@ -166,8 +176,11 @@
   public Actions tick(List<Lender> peers, long nowNanoseconds, RandomGenerator random) {
     int zoneMembers = 1 + (int) peers.stream().filter(Lender::near).count();
     List<SlotAction> slotActions = member.tick(zoneMembers, nowNanoseconds);
-    apply(nowNanoseconds);
-    limits.keySet().forEach(name -> broker.setLenders(name, peers));
+    applyIfDue(nowNanoseconds);
+    if (!peers.equals(lenders)) {
+      lenders = List.copyOf(peers);
+      limits.keySet().forEach(name -> broker.setLenders(name, lenders));
+    }
     pump(nowNanoseconds);
     return new Actions(broker.tick(nowNanoseconds, random), slotActions);
   }
@@ -182,7 +195,7 @@
   /** Handles a message about slots. */
   public Actions receive(SlotMessage message, long nowNanoseconds) {
     List<SlotAction> actions = member.receive(message, nowNanoseconds);
-    apply(nowNanoseconds);
+    applyIfDue(nowNanoseconds);
     return new Actions(List.of(), actions);
   }
 
@@ -205,21 +218,30 @@
   }
 
   private void pump(long nowNanoseconds) {
-    for (Map.Entry<String, Limited> entry : limits.entrySet()) {
-      Limited limited = entry.getValue();
+    for (Limited limited : limits.values()) {
       if (limited.gate().isPresent()) {
         AdmissionGate gate = limited.gate().get();
-        boolean exhausted = broker.exhausted(entry.getKey());
-        gate.setReachableRate(
-            exhausted ? gate.bucket().held(nowNanoseconds).rate() : limited.limit().rate());
+        gate.setHeldRate(gate.bucket().held(nowNanoseconds).rate());
         gate.pump(nowNanoseconds);
       }
     }
   }
 
+  /** What grows may wait a little; what shrinks takes effect at once. */
+  private void applyIfDue(long nowNanoseconds) {
+    boolean due = nowNanoseconds - appliedNanoseconds >= APPLY_PERIOD_NANOSECONDS;
+    boolean slotsChanged = !member.slots().equals(appliedSlots);
+    if (due || slotsChanged || member.validUntilNanoseconds(nowNanoseconds) < appliedValidUntil) {
+      apply(nowNanoseconds);
+    }
+  }
+
   /** Gives each slice what the slots held call for, as long as the instance is sure of them. */
   private void apply(long nowNanoseconds) {
     long validUntil = member.validUntilNanoseconds(nowNanoseconds);
+    appliedNanoseconds = nowNanoseconds;
+    appliedSlots = member.slots();
+    appliedValidUntil = validUntil;
     boolean settled = nowNanoseconds >= settledNanoseconds;
     limits.forEach(
         (name, limited) -> {
