--- /dev/null
+++ b/weirbench/src/test/java/org/corianderweir/bench/configuration/LosingPlatform.java
@@ -0,0 +1,94 @@
+package org.corianderweir.bench.configuration;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.corianderweir.logic.platform.PlatformService;
+import org.corianderweir.model.ErrorCode;
+import org.corianderweir.model.WeirException;
+import org.corianderweir.model.platform.LeaseResult;
+import org.corianderweir.model.platform.ListedInstance;
+import org.corianderweir.model.platform.StoredValue;
+import org.corianderweir.model.platform.WriteResult;
+
+/** A platform on which some writes go wrong, chosen by their number. */
+final class LosingPlatform implements PlatformService {
+  private final PlatformService delegate;
+  private final Fault fault;
+  private final int first;
+  private final int count;
+  private int writes;
+
+  /** What goes wrong with a write. */
+  enum Fault {
+    /** It takes effect and its answer gets lost. */
+    ANSWER_LOST,
+    /** It gets lost itself, and the caller can't tell. */
+    CALL_LOST,
+    /** It is refused. */
+    REFUSED
+  }
+
+  LosingPlatform(PlatformService delegate, Fault fault, int first, int count) {
+    this.delegate = delegate;
+    this.fault = fault;
+    this.first = first;
+    this.count = count;
+  }
+
+  @Override
+  public CompletableFuture<Optional<StoredValue>> read(String key) {
+    return delegate.read(key);
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> compareAndSwap(
+      String key, long expectedVersion, String value) {
+    return write(() -> delegate.compareAndSwap(key, expectedVersion, value));
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> delete(String key, long expectedVersion) {
+    return write(() -> delegate.delete(key, expectedVersion));
+  }
+
+  @Override
+  public CompletableFuture<Optional<StoredValue>> watch(
+      String key, long knownVersion, Duration patience) {
+    return delegate.watch(key, knownVersion, patience);
+  }
+
+  @Override
+  public CompletableFuture<LeaseResult> acquireLease(
+      String name, String holder, Duration duration) {
+    return delegate.acquireLease(name, holder, duration);
+  }
+
+  @Override
+  public CompletableFuture<Void> releaseLease(String name, String holder) {
+    return delegate.releaseLease(name, holder);
+  }
+
+  @Override
+  public CompletableFuture<List<ListedInstance>> listInstances() {
+    return delegate.listInstances();
+  }
+
+  private CompletableFuture<WriteResult> write(Supplier<CompletableFuture<WriteResult>> call) {
+    writes++;
+    if (writes < first || writes >= first + count) {
+      return call.get();
+    }
+    return switch (fault) {
+      case ANSWER_LOST -> call.get().thenCompose(result -> failed(ErrorCode.ANSWER_LOST));
+      case CALL_LOST -> failed(ErrorCode.DEADLINE_EXCEEDED);
+      case REFUSED -> failed(ErrorCode.PLATFORM_UNAVAILABLE);
+    };
+  }
+
+  private static <T> CompletableFuture<T> failed(ErrorCode code) {
+    return CompletableFuture.failedFuture(new WeirException(code, "a fault of the test"));
+  }
+}
--- a/weirlib/src/main/java/org/corianderweir/coordination/ConfigurationExchange.java
+++ b/weirlib/src/main/java/org/corianderweir/coordination/ConfigurationExchange.java
@@ -25,12 +25,15 @@
  */
 final class ConfigurationExchange {
   private static final int NOTICES = 4;
+  private static final long REPAIR_NANOSECONDS = Duration.ofMillis(700).toNanos();
   private static final long MEMORY_NANOSECONDS = Duration.ofSeconds(10).toNanos();
 
   private final ConfigurationSpread spread = new ConfigurationSpread();
   private final Outbox outbox;
   private final RandomGenerator random;
   private Optional<ConfigurationBundle> bundle = Optional.empty();
+  private long behindRevision;
+  private long behindNanoseconds;
   private long highestHeard;
   private long highestHeardNanoseconds;
 
@@ -65,15 +68,33 @@
     }
   }
 
-  /** Takes note of the revision that an instance has, and fetches it if it is newer. */
+  /**
+   * Takes note of the revision that an instance has in force. It is fetched only if no notice has
+   * led to it for a while: else all instances would ask the first one that speaks of it.
+   */
   void peerHas(PeerIdentity peer, long revision, long nowNanoseconds) {
     heardOf(revision, nowNanoseconds);
+    if (revision <= revision()) {
+      return;
+    }
+    if (behindRevision <= revision()) {
+      behindRevision = revision;
+      behindNanoseconds = nowNanoseconds;
+    } else if (nowNanoseconds - behindNanoseconds >= REPAIR_NANOSECONDS) {
+      fetch(peer, revision, nowNanoseconds);
+    }
+  }
+
+  private void fetch(PeerIdentity peer, long revision, long nowNanoseconds) {
     spread.heard(peer.name(), revision, nowNanoseconds).ifPresent(this::ask);
   }
 
   void receive(PeerIdentity sender, ConfigurationMessage message, long nowNanoseconds) {
     switch (message) {
-      case ConfigurationMessage.Notice notice -> peerHas(sender, notice.revision(), nowNanoseconds);
+      case ConfigurationMessage.Notice notice -> {
+        heardOf(notice.revision(), nowNanoseconds);
+        fetch(sender, notice.revision(), nowNanoseconds);
+      }
       case ConfigurationMessage.Request request ->
           bundle
               .filter(current -> current.head().revision() > request.knownRevision())
--- a/weirlib/src/main/java/org/corianderweir/coordination/FleetNode.java
+++ b/weirlib/src/main/java/org/corianderweir/coordination/FleetNode.java
@@ -203,13 +203,19 @@
     return outbox.drain();
   }
 
-  /** Takes a configuration that was accepted through this instance, and tells all zones. */
+  /**
+   * Takes a configuration that was accepted through this instance and tells the relays of the zone.
+   * Those of the other zones find it in the platform's service, so that the instance that accepts a
+   * change need not hand it to each zone.
+   */
   public List<Action> accepted(ConfigurationBundle candidate) {
     putInForce(candidate);
-    exchange.notifyAll(peersOfZone());
-    for (String zone : otherZones.directory().zones()) {
-      exchange.notifyAll(otherZones.directory().relays(zone));
-    }
+    exchange.notifyAll(
+        Relays.ranked(ownZone.members()).stream()
+            .limit(Relays.COUNT)
+            .map(Member::instance)
+            .filter(relay -> !relay.name().equals(self.name()))
+            .toList());
     return outbox.drain();
   }
 
--- a/weirlib/src/main/java/org/corianderweir/coordination/OwnZone.java
+++ b/weirlib/src/main/java/org/corianderweir/coordination/OwnZone.java
@@ -117,14 +117,11 @@
     if (peer == null || peer.incarnation > sender.incarnation()) {
       return Optional.empty();
     }
-    if (peer.incarnation < sender.incarnation()) {
-      peer.incarnation = sender.incarnation();
-      peer.knowsUs = false;
-    }
+    peer.incarnation = sender.incarnation();
     peer.heardSequence = heartbeat.sequence();
     OptionalLong sent = sentTimes.sentAt(heartbeat.echo());
+    peer.knowsUs = sent.isPresent();
     if (sent.isPresent()) {
-      peer.knowsUs = true;
       peer.answered = true;
       peer.answeredNanoseconds = sent.getAsLong();
     }
