--- a/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -62,7 +62,17 @@
     membership =
         new MembershipService(
             self, incarnation, platform, control.loop(), events, configuration, transport, time);
-    LimitService limits = new LimitService(configuration);
+    LimitService limits =
+        LimitService.builder()
+            .withSelf(self, incarnation)
+            .withPlatform(platform)
+            .withLoop(control.loop())
+            .withEvents(events)
+            .withConfiguration(configuration)
+            .withMembership(membership)
+            .withTransport(transport)
+            .withTime(time)
+            .build();
     SteeringService steering =
         new SteeringService(self.region(), configuration, control.loop(), events, time);
     TrafficService traffic =
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
@@ -21,6 +21,7 @@
 import org.corianderweir.kernel.ServiceDirectory;
 import org.corianderweir.kernel.ServiceName;
 import org.corianderweir.kernel.TimeSource;
+import org.corianderweir.logic.delivery.RequestIdentifier;
 import org.corianderweir.logic.lookup.EntrySelector;
 import org.corianderweir.logic.lookup.LookupDirectory;
 import org.corianderweir.logic.steering.SteeringTable;
@@ -57,6 +58,9 @@
   private final TimeSource time;
   private final HttpClient client;
   private final HttpListener listener;
+  private final Refusals refusals;
+  private final Delivery delivery;
+  private final RunOnceGate gate;
   private final RequestPipeline pipeline;
   private volatile LookupDirectory lookups = LookupDirectory.EMPTY;
   private volatile TrafficSnapshot snapshot =
@@ -82,9 +86,24 @@
         new HttpClient(
             new HttpClientOptions("backend", CONNECT_TIMEOUT, IDLE_LIFETIME, ANSWER_LIMIT_BYTES)
                 .from(self.host()));
+    refusals = new Refusals(self.name(), events, metrics);
+    delivery = new Delivery(self.name(), client, refusals, events, metrics, time);
+    gate =
+        new RunOnceGate(
+            self.name(),
+            new IssuerForwarder(self.name(), client, membership::members, refusals, time),
+            refusals,
+            time);
     pipeline =
         new RequestPipeline(
-            self.name(), client, limits, membership::keyFreshness, events, metrics, time);
+            self.name(),
+            limits::admit,
+            membership::keyFreshness,
+            gate,
+            delivery,
+            refusals,
+            metrics,
+            time);
     listener =
         new HttpListener(
             new HttpListenerOptions(
@@ -114,7 +133,7 @@
     long lookupsExpired = time.monotonicNanoseconds() + lookupLifetime.toNanos();
     long limit = time.monotonicNanoseconds() + STOP_LIMIT.toNanos();
     while (time.monotonicNanoseconds() < lookupsExpired
-        || (pipeline.requestsInFlight() > 0 && time.monotonicNanoseconds() < limit)) {
+        || (delivery.requestsInFlight() > 0 && time.monotonicNanoseconds() < limit)) {
       sleep();
     }
     listener.stop(STOP_POLL_PERIOD.toMillis());
@@ -136,15 +155,26 @@
 
   private CompletableFuture<HttpReply> answer(HttpCall call) {
     if (membership.state() == InstanceState.JOINING) {
-      return CompletableFuture.completedFuture(
-          Refusals.reply(RefusalReason.NOT_SERVING, "no configuration yet", self.name()));
+      return CompletableFuture.completedFuture(notServing(call));
     }
     if (call.path().equals(LOOKUP_PATH)) {
       return CompletableFuture.completedFuture(lookup(call));
     }
+    if (call.path().equals(RunOnceGate.ISSUE_PATH)) {
+      return CompletableFuture.completedFuture(gate.issue(call));
+    }
     return pipeline.answer(call, snapshot);
   }
 
+  private HttpReply notServing(HttpCall call) {
+    String name = call.headers().first(CallerHeaders.REQUEST).orElse("");
+    return refusals.refuse(
+        name,
+        RefusalReason.NOT_SERVING,
+        gate.executionSoFar(RequestIdentifier.parse(name)),
+        "no configuration yet");
+  }
+
   private HttpReply lookup(HttpCall call) {
     String client = call.parameter("client", "");
     Optional<AvailabilityZone> zone = lookups.zoneOf(client);
--- a/weirlib/src/main/java/org/corianderweir/coordination/FleetNode.java
+++ b/weirlib/src/main/java/org/corianderweir/coordination/FleetNode.java
@@ -29,6 +29,7 @@
 import org.corianderweir.model.topology.InstanceState;
 import org.corianderweir.protocol.ConfigurationDocuments;
 import org.corianderweir.protocol.ConfigurationMessage;
+import org.corianderweir.protocol.LimitMessage;
 import org.corianderweir.protocol.MembershipMessage;
 import org.corianderweir.protocol.MembershipMessage.AgedRevision;
 import org.corianderweir.protocol.PeerMessage;
@@ -164,6 +165,9 @@
         exchange.receive(sender, configuration, nowNanoseconds);
         exchange.fetched().ifPresent(this::putInForce);
       }
+      case LimitMessage limit -> {
+        // The limits have a state machine of their own.
+      }
     }
     return outbox.drain();
   }
--- a/weirlib/src/main/java/org/corianderweir/protocol/PeerMessageCodec.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/PeerMessageCodec.java
@@ -22,6 +22,7 @@
       switch (message) {
         case MembershipMessage membership -> MembershipCodec.pack(packer, membership);
         case ConfigurationMessage configuration -> ConfigurationCodec.pack(packer, configuration);
+        case LimitMessage limit -> LimitMessageCodec.pack(packer, limit);
       }
       return packer.toByteArray();
     } catch (IOException impossible) {
@@ -48,6 +49,9 @@
 
   private static PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
     int type = unpacker.unpackInt();
+    if (type >= LimitMessageCodec.FIRST_TYPE && type <= LimitMessageCodec.LAST_TYPE) {
+      return LimitMessageCodec.unpack(type, unpacker);
+    }
     Optional<PeerMessage> membership = MembershipCodec.unpack(type, unpacker);
     if (membership.isPresent()) {
       return membership.get();
