--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -11,6 +11,7 @@
 import org.corianderweir.bench.backend.BackendStandIn;
 import org.corianderweir.bench.backend.JournalFile;
 import org.corianderweir.bench.backend.ServerPlan;
+import org.corianderweir.bench.configuration.InForceExperiment;
 import org.corianderweir.bench.demo.Demonstration;
 import org.corianderweir.bench.deployment.DeploymentFiles;
 import org.corianderweir.bench.lookup.LookupExperiment;
@@ -106,6 +107,26 @@
     }
   }
 
+  /** Measures how fast changes of the configuration are in force. */
+  private static final class InForceCommand implements Command {
+    @Parameter(names = "--daemons", description = "number of daemons in six zones")
+    private int daemons = 18;
+
+    @Parameter(names = "--changes", description = "number of changes")
+    private int changes = 30;
+
+    @Parameter(names = "--first-port", description = "first TCP port that is used")
+    private int firstPort = 21_000;
+
+    @Parameter(names = "--seed", description = "seed of the choice of daemons")
+    private long seed = 1;
+
+    @Override
+    public int run() throws InterruptedException {
+      return new InForceExperiment(daemons, changes, firstPort, seed, System.out).run();
+    }
+  }
+
   /** Runs the JMH benchmarks whose names match. */
   private static final class BenchmarkCommand implements Command {
     @Parameter(names = "--include", description = "regular expression of benchmark names")
@@ -131,6 +152,7 @@
             "backend", new BackendCommand(),
             "demo", new DemoCommand(),
             "run", new RunCommand(),
+            "in-force", new InForceCommand(),
             "look-up", new LookupCommand(),
             "benchmark", new BenchmarkCommand());
     JCommander commander = JCommander.newBuilder().programName("weirbench").build();
--- a/weirbench/src/main/java/org/corianderweir/bench/process/SettingsFile.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/process/SettingsFile.java
@@ -8,10 +8,11 @@
 import org.corianderweir.model.topology.EntryInstance;
 
 /** Writes the settings file of an entry instance. */
-final class SettingsFile {
+public final class SettingsFile {
   private SettingsFile() {}
 
-  static Path write(
+  /** Writes the file into a directory and returns its path. */
+  public static Path write(
       Path directory, EntryInstance instance, HttpAddress platform, String credential) {
     String text =
         """
--- /dev/null
+++ b/weirlib/src/test/java/org/corianderweir/logic/keys/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the decisions on keys. */
+package org.corianderweir.logic.keys;
