--- a/weirbench/src/main/java/org/corianderweir/bench/process/SettingsFile.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/process/SettingsFile.java
@@ -8,7 +8,7 @@
 import org.corianderweir.model.topology.EntryInstance;
 
 /** Writes the settings file of an entry instance. */
-final class SettingsFile {
+public final class SettingsFile {
   private SettingsFile() {}
 
   /**
@@ -17,7 +17,7 @@
    * @param instance the addresses that others are told
    * @param listening the addresses that it listens on
    */
-  static Path write(
+  public static Path write(
       Path directory,
       EntryInstance instance,
       EntryInstance listening,
