--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -11,6 +11,7 @@
 import org.corianderweir.bench.backend.BackendStandIn;
 import org.corianderweir.bench.backend.JournalFile;
 import org.corianderweir.bench.backend.ServerPlan;
+import org.corianderweir.bench.choice.ChoiceExperiment;
 import org.corianderweir.bench.demo.Demonstration;
 import org.corianderweir.bench.deployment.DeploymentFiles;
 import org.corianderweir.bench.lookup.LookupExperiment;
@@ -123,6 +124,18 @@
     }
   }
 
+  /** Weighs ways to choose a backend server. */
+  private static final class ChoiceCommand implements Command {
+    @Parameter(names = "--seed", description = "seed of the random numbers")
+    private long seed = 1;
+
+    @Override
+    public int run() {
+      new ChoiceExperiment(System.out).run(seed);
+      return 0;
+    }
+  }
+
   /** Runs the command that the arguments name. */
   public static void main(String[] arguments) throws InterruptedException {
     Map<String, Command> commands =
@@ -131,7 +144,8 @@
             "backend", new BackendCommand(),
             "demo", new DemoCommand(),
             "look-up", new LookupCommand(),
-            "benchmark", new BenchmarkCommand());
+            "benchmark", new BenchmarkCommand(),
+            "choice-experiment", new ChoiceCommand());
     JCommander commander = JCommander.newBuilder().programName("weirbench").build();
     commands.forEach(commander::addCommand);
     try {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Delivery.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Delivery.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -17,7 +18,8 @@
 import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.delivery.RetryBudget;
 import org.corianderweir.logic.delivery.RetryPolicy;
-import org.corianderweir.logic.steering.ServerChooser;
+import org.corianderweir.logic.delivery.ServerHealth;
+import org.corianderweir.logic.delivery.ServerSelection;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
 import org.corianderweir.model.configuration.BackendServer;
@@ -29,6 +31,8 @@
 /** Sends admitted requests to backend servers and decides after each attempt how to go on. */
 final class Delivery {
   private static final int STATUS_SERVER_REFUSED = 503;
+  private static final int STATUS_FAILED = 500;
+  private static final Duration REFUSAL_MEMORY = Duration.ofMillis(5);
   private static final String SERVER_REFUSED_HEADER = "Server-Refused";
   private static final String SERVER_REFUSED_NOT_RUN = "not-run";
   private static final double RETRIES_PER_REQUEST = 0.1;
@@ -42,6 +46,8 @@
   private final Meter answers;
   private final Meter retries;
   private final InFlightCounts inFlight = new InFlightCounts();
+  private final HealthTable health = new HealthTable();
+  private final WaitingRoom room = new WaitingRoom();
   private final RetryBudget budget = new RetryBudget(RETRIES_PER_REQUEST, RETRIES_SAVED_UP);
 
   Delivery(
@@ -60,8 +66,17 @@
     this.retries = metrics.meter("retries");
   }
 
-  int requestsInFlight() {
-    return inFlight.total();
+  /** Returns the requests of this entry instance that a backend server has. */
+  int inFlight(BackendServer server) {
+    return inFlight.inFlight(server);
+  }
+
+  HealthTable health() {
+    return health;
+  }
+
+  void stop() {
+    room.stop();
   }
 
   /** Delivers a request; to cancel the future ends the attempt that is underway. */
@@ -73,67 +88,126 @@
   }
 
   /** The attempts of one request, one after another. */
-  private final class Attempts {
+  private final class Attempts implements WaitingRoom.Waiter {
     private final RequestContext context;
+    private final String selector;
     private final CompletableFuture<HttpReply> result = new CompletableFuture<>();
     private final double draw = ThreadLocalRandom.current().nextDouble();
-    private final Set<String> tried = new HashSet<>();
+    private final Set<String> failed = new HashSet<>();
     private Execution execution = Execution.NOT_RUN;
     private RefusalReason lastReason = RefusalReason.NO_CAPACITY;
 
     Attempts(RequestContext context) {
       this.context = context;
+      this.selector = context.selector().name();
     }
 
     private void next() {
-      long remaining = context.deadlineNanoseconds() - time.monotonicNanoseconds();
-      Optional<BackendServer> chosen = remaining > 0 ? choose() : Optional.empty();
-      if (result.isDone()) {
+      String line = line();
+      Optional<Runnable> send = room.isEmpty(line) ? tryNow() : Optional.empty();
+      if (send.isPresent()) {
+        send.get().run();
         return;
       }
-      if (chosen.isEmpty()) {
-        refuse(lastReason, "no backend server is free in time");
+      long remaining = remaining();
+      if (remaining <= 0 || nothingLeft()) {
+        giveUp();
         return;
       }
-      send(chosen.get(), remaining);
+      room.await(line, this, remaining);
+      result.whenComplete((answer, failure) -> room.leave(line, this));
+    }
+
+    /** Returns the queue to wait in: requests of one queue can use the same servers. */
+    private String line() {
+      List<BackendServer> servers = context.snapshot().candidates(selector, draw);
+      return servers.isEmpty()
+          ? selector + WaitingRoom.NO_SERVER
+          : line(servers.getFirst());
+    }
+
+    private String line(BackendServer server) {
+      return selector + '/' + server.availabilityZone();
+    }
+
+    @Override
+    public Optional<Runnable> tryNow() {
+      if (result.isDone() || remaining() <= 0) {
+        return Optional.empty();
+      }
+      long now = time.monotonicNanoseconds();
+      List<ServerSelection.Candidate<BackendServer>> candidates = new ArrayList<>();
+      for (BackendServer server : context.snapshot().candidates(selector, draw)) {
+        if (!failed.contains(server.name())) {
+          candidates.add(
+              new ServerSelection.Candidate<>(
+                  server, server.slots(), inFlight.inFlight(server), health.of(server, now)));
+        }
+      }
+      return ServerSelection.choose(candidates, ThreadLocalRandom.current(), now)
+          .map(ServerSelection.Candidate::server)
+          .map(this::reserve);
     }
 
-    private Optional<BackendServer> choose() {
-      List<BackendServer> untried =
-          context.snapshot().candidates(context.selector().name(), draw).stream()
-              .filter(server -> !tried.contains(server.name()))
-              .toList();
-      return ServerChooser.choose(untried, inFlight, ThreadLocalRandom.current());
+    @Override
+    public void giveUp() {
+      refuse(lastReason, "no backend server is free in time");
     }
 
-    private void send(BackendServer server, long remainingNanoseconds) {
-      tried.add(server.name());
-      events.record(EventCode.REQUEST_SENT, context.name(), "server=" + server.name());
+    private Runnable reserve(BackendServer server) {
       inFlight.begin(server);
+      return () -> send(server);
+    }
+
+    /** Returns whether each server that the request may go to has failed it already. */
+    private boolean nothingLeft() {
+      List<BackendServer> servers = context.snapshot().candidates(selector, draw);
+      return !servers.isEmpty()
+          && servers.stream().allMatch(server -> failed.contains(server.name()));
+    }
+
+    private void send(BackendServer server) {
+      events.record(EventCode.REQUEST_SENT, context.name(), server.name());
+      long sent = time.monotonicNanoseconds();
+      long remaining = Math.max(1, remaining());
       CompletableFuture<HttpReply> exchange =
           client.exchange(
               new HttpAddress(server.host(), server.port()),
-              messages.forwarded(context, remainingNanoseconds),
-              Duration.ofNanos(remainingNanoseconds));
+              messages.forwarded(context, remaining),
+              Duration.ofNanos(remaining));
       result.whenComplete((answer, failure) -> exchange.cancel(false));
       exchange.whenComplete(
           (answer, failure) -> {
             inFlight.end(server);
             if (!result.isDone()) {
-              ended(server, answer, failure);
+              ended(server, answer, failure, time.monotonicNanoseconds() - sent);
             }
+            room.wake(line(server));
           });
     }
 
     private void ended(
-        BackendServer server, @Nullable HttpReply answer, @Nullable Throwable failure) {
+        BackendServer server,
+        @Nullable HttpReply answer,
+        @Nullable Throwable failure,
+        long tookNanoseconds) {
+      long now = time.monotonicNanoseconds();
+      ServerHealth seen = health.of(server, now);
       if (answer == null) {
+        seen.failed(now);
+        failed.add(server.name());
         retryOrRefuse(reason(failure), server);
       } else if (isRefusal(answer)) {
+        seen.refused(REFUSAL_MEMORY.toNanos(), now);
         retryOrRefuse(RefusalReason.NO_CAPACITY, server);
       } else {
+        if (answer.status() >= STATUS_FAILED) {
+          seen.failed(now);
+        } else {
+          seen.answered(tookNanoseconds, now);
+        }
         answers.mark();
-        events.record(EventCode.REQUEST_ANSWERED, context.name(), "server=" + server.name());
+        events.record(EventCode.REQUEST_ANSWERED, context.name(), server.name());
         result.complete(messages.returned(server, answer));
       }
     }
@@ -143,9 +217,8 @@
       if (reason.execution() == Execution.UNKNOWN) {
         execution = Execution.UNKNOWN;
       }
-      long remaining = context.deadlineNanoseconds() - time.monotonicNanoseconds();
       String method = context.call().method();
-      if (RetryPolicy.mayRetry(method, reason.execution(), remaining, budget)) {
+      if (RetryPolicy.mayRetry(method, reason.execution(), remaining(), budget)) {
         retries.mark();
         next();
       } else {
@@ -157,6 +230,15 @@
     private void refuse(RefusalReason reason, String message) {
       result.complete(refusals.refuse(context.name(), reason, execution, message));
     }
+
+    private long remaining() {
+      return context.deadlineNanoseconds() - time.monotonicNanoseconds();
+    }
+
+    @Override
+    public String organisation() {
+      return context.organisation().orElse("");
+    }
   }
 
   private static boolean isRefusal(HttpReply answer) {
--- a/weirhttp/src/main/java/org/corianderweir/http/EndpointHandler.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/EndpointHandler.java
@@ -112,6 +112,9 @@
   private static void write(Response response, HttpReply reply) {
     try {
       response.setStatus(reply.status());
+      if (reply.headers().first("Connection").filter("close"::equalsIgnoreCase).isPresent()) {
+        closeAfter(response);
+      }
       for (HttpHeader field : reply.headers().without(FRAMING).fields()) {
         if (field.name().equalsIgnoreCase("content-type")) {
           response.setContentType(field.value());
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpReply.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpReply.java
@@ -22,6 +22,11 @@
     return new HttpReply(status, headers.with(name, value), body);
   }
 
+  /** Returns this answer with the word that the connection is closed after it. */
+  public HttpReply closing() {
+    return with("Connection", "close");
+  }
+
   /** Returns the body as UTF-8 text. */
   public String bodyText() {
     return new String(body, StandardCharsets.UTF_8);
