--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -15,6 +15,7 @@
 import org.corianderweir.bench.demo.Demonstration;
 import org.corianderweir.bench.deployment.DeploymentFiles;
 import org.corianderweir.bench.lookup.LookupExperiment;
+import org.corianderweir.bench.overhead.OverheadMeasurement;
 import org.corianderweir.bench.platform.PlatformRates;
 import org.corianderweir.bench.platform.PlatformStandIn;
 import org.corianderweir.daemon.SystemTimeSource;
@@ -124,6 +125,24 @@
     }
   }
 
+  /** Measures what an entry instance adds to a direct call. */
+  private static final class OverheadCommand implements Command {
+    @Parameter(names = "--seed", description = "seed of the random numbers")
+    private long seed = 1;
+
+    @Parameter(names = "--deployment", description = "name of a file in deployments/")
+    private String deployment = "adebayo";
+
+    @Parameter(names = "--first-port", description = "first TCP port that is used")
+    private int firstPort = 20_000;
+
+    @Override
+    public int run() {
+      return new OverheadMeasurement(DeploymentFiles.read(deployment), firstPort, System.out)
+          .run(seed);
+    }
+  }
+
   /** Weighs ways to choose a backend server. */
   private static final class ChoiceCommand implements Command {
     @Parameter(names = "--seed", description = "seed of the random numbers")
@@ -145,7 +164,8 @@
             "demo", new DemoCommand(),
             "look-up", new LookupCommand(),
             "benchmark", new BenchmarkCommand(),
-            "choice-experiment", new ChoiceCommand());
+            "choice-experiment", new ChoiceCommand(),
+            "overhead", new OverheadCommand());
     JCommander commander = JCommander.newBuilder().programName("weirbench").build();
     commands.forEach(commander::addCommand);
     try {
--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/overhead/OpenLoop.java
@@ -0,0 +1,65 @@
+package org.corianderweir.bench.overhead;
+
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.corianderweir.http.HttpAddress;
+import org.corianderweir.http.HttpCall;
+import org.corianderweir.http.HttpClient;
+
+/** Sends requests at the moments of a Poisson process, whether answers come or not. */
+final class OpenLoop {
+  private static final long HIGHEST_NANOSECONDS = Duration.ofSeconds(60).toNanos();
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+  private static final double NANOSECONDS_PER_SECOND = 1e9;
+  private static final int STATUS_OK = 200;
+
+  private final HttpClient client;
+  private final SplittableRandom random;
+
+  /**
+   * What came of a block of requests.
+   *
+   * @param latency time from the moment a request was due to its whole answer, in nanoseconds
+   * @param failed requests without a good answer
+   */
+  record Outcome(Histogram latency, long failed) {}
+
+  OpenLoop(HttpClient client, long seed) {
+    this.client = client;
+    this.random = new SplittableRandom(seed);
+  }
+
+  /** Sends for a time and waits for the answers. */
+  Outcome send(HttpAddress address, HttpCall call, double perSecond, Duration length) {
+    ConcurrentHistogram latency = new ConcurrentHistogram(HIGHEST_NANOSECONDS, 3);
+    AtomicLong failed = new AtomicLong();
+    AtomicLong pending = new AtomicLong();
+    long start = System.nanoTime();
+    double due = 0;
+    while (due < length.toNanos()) {
+      due -= Math.log(1 - random.nextDouble()) * NANOSECONDS_PER_SECOND / perSecond;
+      long moment = start + (long) due;
+      LockSupport.parkNanos(moment - System.nanoTime());
+      pending.incrementAndGet();
+      client
+          .exchange(address, call, TIMEOUT)
+          .whenComplete(
+              (reply, failure) -> {
+                if (reply != null && reply.status() == STATUS_OK) {
+                  latency.recordValue(Math.min(System.nanoTime() - moment, HIGHEST_NANOSECONDS));
+                } else {
+                  failed.incrementAndGet();
+                }
+                pending.decrementAndGet();
+              });
+    }
+    while (pending.get() > 0) {
+      LockSupport.parkNanos(Duration.ofMillis(1).toNanos());
+    }
+    return new Outcome(latency, failed.get());
+  }
+}
--- /dev/null
+++ b/weirbench/src/test/java/org/corianderweir/bench/choice/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the package. */
+package org.corianderweir.bench.choice;
--- /dev/null
+++ b/weirbench/src/test/java/org/corianderweir/bench/overhead/PlannedStopTest.java
@@ -0,0 +1,80 @@
+package org.corianderweir.bench.overhead;
+
+import static org.testng.Assert.assertEquals;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.corianderweir.bench.deployment.Deployment;
+import org.corianderweir.bench.deployment.DeploymentFiles;
+import org.corianderweir.bench.deployment.DeploymentLayout;
+import org.corianderweir.bench.process.Fleet;
+import org.corianderweir.http.HttpAddress;
+import org.corianderweir.http.HttpCall;
+import org.corianderweir.http.HttpClient;
+import org.corianderweir.http.HttpClientOptions;
+import org.corianderweir.model.topology.EntryInstance;
+import org.corianderweir.protocol.Json;
+import org.testng.annotations.Test;
+
+/** Tests that SIGTERM cuts no request of callers that cached the look-up answer. */
+public class PlannedStopTest {
+  private static final int FIRST_PORT = 22_400;
+  private static final double REQUESTS_PER_SECOND = 100;
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+  /** Less than the lifetime of look-ups, which is 2 s. */
+  private static final Duration CACHED = Duration.ofMillis(1_500);
+
+  @Test
+  public void stopCutsNoRequest() throws Exception {
+    DeploymentLayout layout =
+        new DeploymentLayout(DeploymentFiles.read("adebayo").limitedTo(1, 2), FIRST_PORT);
+    Path directory = Files.createTempDirectory("corianderweir-stop");
+    HttpClient client = new HttpClient(new HttpClientOptions("stop", TIMEOUT, TIMEOUT, 1 << 20));
+    client.start();
+    try (Fleet fleet =
+        new Fleet(layout, new Fleet.Options(directory, false, false, Duration.ZERO))) {
+      fleet.start();
+      EntryInstance entry = layout.entryInstances().getFirst();
+      String path =
+          layout.deployment().routes().stream()
+              .filter(Deployment.Route::open)
+              .findFirst()
+              .orElseThrow()
+              .path();
+      HttpAddress address = new HttpAddress(entry.host(), entry.callerPort());
+      HttpCall call = HttpCall.of("GET", path);
+      String configuration = Json.write(layout.configuration(fleet.advertisedServers()));
+      await(fleet::publishInstances);
+      await(
+          () -> fleet.client().operate(entry, "PUT", "/configuration", configuration).isPresent());
+      await(
+          () ->
+              fleet
+                  .client()
+                  .call(address, call)
+                  .filter(reply -> reply.status() == 200)
+                  .isPresent());
+      OpenLoop load = new OpenLoop(client, 1);
+      load.send(address, call, REQUESTS_PER_SECOND, CACHED);
+      Process process = fleet.processes().get(entry.name());
+      process.destroy();
+      long failed = load.send(address, call, REQUESTS_PER_SECOND, CACHED).failed();
+      boolean ended = process.waitFor(30, TimeUnit.SECONDS);
+      assertEquals(List.of(failed, ended, ended ? process.exitValue() : -1), List.of(0L, true, 0));
+    } finally {
+      client.stop();
+    }
+  }
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    long limit = System.nanoTime() + Duration.ofSeconds(40).toNanos();
+    while (!condition.getAsBoolean() && System.nanoTime() < limit) {
+      TimeUnit.MILLISECONDS.sleep(50);
+    }
+  }
+}
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import org.corianderweir.daemon.control.ConfigurationService;
+import org.corianderweir.daemon.control.ConfigurationStore;
 import org.corianderweir.daemon.control.ControlService;
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.daemon.control.LimitService;
@@ -54,13 +55,24 @@
         new HttpPlatformService(
             platformClient, settings.platform(), metrics.meter("platform.calls"));
     ControlService control = new ControlService(events);
-    ConfigurationService configuration = new ConfigurationService(platform, control.loop(), events);
+    ConfigurationService configuration =
+        new ConfigurationService(new ConfigurationStore(platform), events, time);
     PeerTransport transport =
         new PeerTransport(self, incarnation, settings.peerSecret(), events, metrics, time);
     membership =
         new MembershipService(
             self, incarnation, platform, control.loop(), events, configuration, transport, time);
-    LimitService limits = new LimitService(configuration);
+    LimitService limits =
+        LimitService.builder()
+            .withSelf(self, incarnation)
+            .withPlatform(platform)
+            .withLoop(control.loop())
+            .withEvents(events)
+            .withConfiguration(configuration)
+            .withMembership(membership)
+            .withTransport(transport)
+            .withTime(time)
+            .build();
     SteeringService steering =
         new SteeringService(self.region(), configuration, control.loop(), events, time);
     TrafficService traffic =
@@ -68,7 +80,13 @@
             settings, configuration, membership, limits, steering, events, metrics, time);
     OperatorService operators =
         new OperatorService(
-            settings, configuration, membership, events, metrics, stopRequested::countDown);
+            settings,
+            configuration,
+            membership,
+            events,
+            metrics,
+            traffic::drains,
+            stopRequested::countDown);
     kernel
         .register(EventLog.NAME, events)
         .register(ControlService.NAME, control)
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorService.java
@@ -10,6 +10,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.function.Supplier;
 import org.corianderweir.daemon.control.ConfigurationService;
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.daemon.control.MembershipService;
@@ -22,6 +23,7 @@
 import org.corianderweir.kernel.ServiceDirectory;
 import org.corianderweir.kernel.ServiceName;
 import org.corianderweir.logic.configuration.ConfigurationChange;
+import org.corianderweir.logic.delivery.DrainState;
 import org.corianderweir.logic.keys.KeyHasher;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
@@ -52,13 +54,16 @@
   private final MembershipService membership;
   private final EventLog events;
   private final MetricRegistry metrics;
+  private final Supplier<List<DrainState>> drains;
   private final Runnable planStop;
+  private final ControlReports reports;
   private final SecureRandom random = new SecureRandom();
   private final HttpListener listener;
 
   /**
    * Creates the service; it does not listen yet.
    *
+   * @param drains backend servers that are leaving
    * @param planStop begins a planned stop of the process
    */
   public OperatorService(
@@ -67,13 +72,16 @@
       MembershipService membership,
       EventLog events,
       MetricRegistry metrics,
+      Supplier<List<DrainState>> drains,
       Runnable planStop) {
     this.settings = settings;
     this.configuration = configuration;
     this.membership = membership;
     this.events = events;
     this.metrics = metrics;
+    this.drains = drains;
     this.planStop = planStop;
+    reports = new ControlReports(configuration, membership);
     listener =
         new HttpListener(
             new HttpListenerOptions(
@@ -121,6 +129,7 @@
       case "GET /status" -> done(json(status()));
       case "GET /instances" -> done(json(new OperatorMessages.Instances(membership.members())));
       case "GET /configuration" -> done(json(configuration.inForce()));
+      case "GET /drains" -> done(json(new OperatorMessages.Drains(drains.get())));
       case "GET /timeline" -> done(json(new OperatorMessages.Timeline(events.events())));
       case "GET /metrics" -> done(json(meters()));
       case "PUT /configuration" -> replace(call);
@@ -132,6 +141,9 @@
       case "POST /undrain" ->
           change(call, new ConfigurationChange.SetDrained(call.parameter("server", ""), false));
       case "POST /stop" -> stopInstance();
+      case "GET /in-force" -> reports.inForce(call);
+      case "GET /configuration/history" -> reports.history();
+      case "GET /configuration/difference" -> reports.difference(call);
       default -> done(error(STATUS_NOT_FOUND, "not-found", "no such operation"));
     };
   }
@@ -165,23 +177,30 @@
     KeyHasher.IssuedKey issued =
         KeyHasher.issue(
             call.parameter("identifier", ""), call.parameter("organisation", ""), random);
-    return apply(call, new ConfigurationChange.AddKey(issued.stored()))
-        .thenApply(
-            accepted ->
-                json(new OperatorMessages.KeyIssued(accepted.revision(), issued.presented())));
+    String operation = generatedOperation();
+    return configuration
+        .change(expectedRevision(call), new ConfigurationChange.AddKey(issued.stored()), operation)
+        .thenApply(revision -> json(new OperatorMessages.KeyIssued(revision, issued.presented())));
   }
 
   private CompletableFuture<HttpReply> change(HttpCall call, ConfigurationChange change) {
-    return apply(call, change)
-        .thenApply(accepted -> json(new OperatorMessages.Accepted(accepted.revision())));
+    return apply(call, change).thenApply(revision -> json(new OperatorMessages.Accepted(revision)));
   }
 
-  private CompletableFuture<Configuration> apply(HttpCall call, ConfigurationChange change) {
+  /**
+   * An operator that names the operation can repeat it without making the change twice. Not so for
+   * keys that are issued, because each has a new secret.
+   */
+  private CompletableFuture<Long> apply(HttpCall call, ConfigurationChange change) {
     long expected = expectedRevision(call);
-    String operation = settings.instance().name() + "/" + UUID.randomUUID();
+    String operation = call.parameter("operation", generatedOperation());
     return configuration.change(expected, change, operation);
   }
 
+  private String generatedOperation() {
+    return settings.instance().name() + "/" + UUID.randomUUID();
+  }
+
   private long expectedRevision(HttpCall call) {
     String text = call.parameter("expected-revision", "");
     if (text.isEmpty()) {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Delivery.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Delivery.java
@@ -32,6 +32,10 @@
 final class Delivery {
   private static final int STATUS_SERVER_REFUSED = 503;
   private static final int STATUS_FAILED = 500;
+
+  /** A request that has waited is not sent so late that its outcome would likely stay unknown. */
+  private static final Duration LAST_ATTEMPT = Duration.ofMillis(40);
+
   private static final Duration REFUSAL_MEMORY = Duration.ofMillis(5);
   private static final String SERVER_REFUSED_HEADER = "Server-Refused";
   private static final String SERVER_REFUSED_NOT_RUN = "not-run";
@@ -95,6 +99,7 @@
     private final double draw = ThreadLocalRandom.current().nextDouble();
     private final Set<String> failed = new HashSet<>();
     private Execution execution = Execution.NOT_RUN;
+    private volatile boolean waited;
     private RefusalReason lastReason = RefusalReason.NO_CAPACITY;
 
     Attempts(RequestContext context) {
@@ -114,6 +119,7 @@
         giveUp();
         return;
       }
+      waited = true;
       room.await(line, this, remaining);
       result.whenComplete((answer, failure) -> room.leave(line, this));
     }
@@ -121,9 +127,7 @@
     /** Returns the queue to wait in: requests of one queue can use the same servers. */
     private String line() {
       List<BackendServer> servers = context.snapshot().candidates(selector, draw);
-      return servers.isEmpty()
-          ? selector + WaitingRoom.NO_SERVER
-          : line(servers.getFirst());
+      return servers.isEmpty() ? selector + WaitingRoom.NO_SERVER : line(servers.getFirst());
     }
 
     private String line(BackendServer server) {
@@ -132,7 +136,7 @@
 
     @Override
     public Optional<Runnable> tryNow() {
-      if (result.isDone() || remaining() <= 0) {
+      if (result.isDone() || remaining() <= (waited ? LAST_ATTEMPT.toNanos() : 0)) {
         return Optional.empty();
       }
       long now = time.monotonicNanoseconds();
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/HealthTable.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/HealthTable.java
@@ -15,8 +15,7 @@
     ServerHealth known = healthByServer.get(server.name());
     return known != null
         ? known
-        : healthByServer.computeIfAbsent(
-            server.name(), unused -> new ServerHealth(nowNanoseconds));
+        : healthByServer.computeIfAbsent(server.name(), unused -> new ServerHealth(nowNanoseconds));
   }
 
   /** Forgets the servers that get no requests, so that they begin slowly when they come back. */
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RateAdmission.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RateAdmission.java
@@ -6,5 +6,6 @@
 /** Says whether a request is inside its organisation's rate and burst. */
 interface RateAdmission {
   /** Decides on one request; the decision may have to wait for an allowance. */
-  CompletableFuture<AdmissionDecision> admit(String organisation, long nowNanoseconds);
+  CompletableFuture<AdmissionDecision> admit(
+      String organisation, long deadlineNanoseconds, long nowNanoseconds);
 }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Refusals.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Refusals.java
@@ -12,6 +12,7 @@
 /** Writes refusals as HTTP answers, counts them and records them on the time line. */
 final class Refusals {
   private static final String RETRY_AFTER_SECONDS = "1";
+  private static final long MILLISECONDS_PER_SECOND = 1_000;
 
   private final String instanceName;
   private final EventLog events;
@@ -48,12 +49,18 @@
             .with(CallerHeaders.ENTRY_INSTANCE, instanceName);
     boolean worthRepeating =
         switch (reason) {
-          case RATE_EXCEEDED, NO_CAPACITY, NOT_SERVING, KEYS_STALE, BACKEND_UNREACHABLE -> true;
+          case NO_CAPACITY, NOT_SERVING, KEYS_STALE, BACKEND_UNREACHABLE -> true;
           default -> false;
         };
     return worthRepeating ? reply.with("Retry-After", RETRY_AFTER_SECONDS) : reply;
   }
 
+  /** Adds the time after which a repetition may be admitted, in whole seconds, rounded up. */
+  static HttpReply retryAfter(HttpReply reply, long milliseconds) {
+    long seconds = Math.max(1, Math.ceilDiv(milliseconds, MILLISECONDS_PER_SECOND));
+    return reply.with("Retry-After", Long.toString(seconds));
+  }
+
   /** Returns whether an answer says that the request certainly did not run. */
   static boolean isNotRun(HttpReply reply) {
     return reply
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestPipeline.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestPipeline.java
@@ -7,16 +7,19 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.corianderweir.http.HttpCall;
 import org.corianderweir.http.HttpReply;
 import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.delivery.RequestIdentifier;
 import org.corianderweir.logic.delivery.RetryPolicy;
 import org.corianderweir.logic.keys.KeyDecision;
+import org.corianderweir.logic.keys.KeyFreshnessView;
 import org.corianderweir.logic.limits.AdmissionDecision;
 import org.corianderweir.logic.steering.RouteDecision;
 import org.corianderweir.model.configuration.Selector;
 import org.corianderweir.model.request.RefusalReason;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Takes one request through its stages: form, route, key, identifier, rate, delivery. Each stage
@@ -28,6 +31,7 @@
 
   private final String instanceName;
   private final RateAdmission admission;
+  private final Supplier<KeyFreshnessView> keyFreshness;
   private final RunOnceGate gate;
   private final Delivery delivery;
   private final Refusals refusals;
@@ -38,6 +42,7 @@
   RequestPipeline(
       String instanceName,
       RateAdmission admission,
+      Supplier<KeyFreshnessView> keyFreshness,
       RunOnceGate gate,
       Delivery delivery,
       Refusals refusals,
@@ -45,6 +50,7 @@
       TimeSource time) {
     this.instanceName = instanceName;
     this.admission = admission;
+    this.keyFreshness = keyFreshness;
     this.gate = gate;
     this.delivery = delivery;
     this.refusals = refusals;
@@ -112,6 +118,9 @@
     if (!allowed.isEmpty() && !allowed.contains(organisation)) {
       return refuse(context, RefusalReason.ROUTE_FORBIDDEN, "not for this organisation");
     }
+    if (!keyFreshness.get().allows(organisation, time.monotonicNanoseconds())) {
+      return refuse(context, RefusalReason.KEYS_STALE, "the keys can't be confirmed");
+    }
     return runOnce(context.withOrganisation(organisation));
   }
 
@@ -125,19 +134,54 @@
     if (context.organisation().isEmpty()) {
       return delivery.deliver(context);
     }
-    return admission
-        .admit(context.organisation().get(), time.monotonicNanoseconds())
-        .thenCompose(
-            decision ->
-                switch (decision) {
-                  case AdmissionDecision.Admitted admitted -> delivery.deliver(context);
-                  case AdmissionDecision.Refused refused ->
-                      CompletableFuture.completedFuture(
-                          refusals.refuse(
-                              context.name(),
-                              RefusalReason.RATE_EXCEEDED,
-                              "the organisation is over its rate"));
-                });
+    CompletableFuture<AdmissionDecision> decision =
+        admission.admit(
+            context.organisation().get(),
+            context.deadlineNanoseconds(),
+            time.monotonicNanoseconds());
+    return decision.isDone() && !decision.isCompletedExceptionally()
+        ? admitted(context, decision.join())
+        : awaitAdmission(context, decision);
+  }
+
+  /** Whoever goes away while waiting is not delivered; later, the delivery is cancelled. */
+  private CompletableFuture<HttpReply> awaitAdmission(
+      RequestContext context, CompletableFuture<AdmissionDecision> pending) {
+    CompletableFuture<HttpReply> result = new CompletableFuture<>();
+    pending.whenComplete(
+        (decision, failure) -> {
+          if (result.isDone()) {
+            return;
+          }
+          CompletableFuture<HttpReply> delivered =
+              failure == null
+                  ? admitted(context, decision)
+                  : CompletableFuture.failedFuture(failure);
+          result.whenComplete((reply, cancelled) -> delivered.cancel(false));
+          delivered.whenComplete((reply, lost) -> result.complete(replyOrRefusal(context, reply)));
+        });
+    return result;
+  }
+
+  private HttpReply replyOrRefusal(RequestContext context, @Nullable HttpReply reply) {
+    return reply != null
+        ? reply
+        : refusals.refuse(context.name(), RefusalReason.OUTCOME_UNKNOWN, "the request failed here");
+  }
+
+  private CompletableFuture<HttpReply> admitted(
+      RequestContext context, AdmissionDecision decision) {
+    return switch (decision) {
+      case AdmissionDecision.Admitted admitted -> delivery.deliver(context);
+      case AdmissionDecision.Refused refused ->
+          CompletableFuture.completedFuture(
+              Refusals.retryAfter(
+                  refusals.refuse(
+                      context.name(),
+                      RefusalReason.RATE_EXCEEDED,
+                      "the organisation is over its rate"),
+                  refused.retryAfterMilliseconds()));
+    };
   }
 
   private CompletableFuture<HttpReply> refuse(
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/WaitingRoom.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/WaitingRoom.java
@@ -9,9 +9,10 @@
 import org.corianderweir.logic.delivery.FairQueue;
 
 /**
- * Where requests wait for a free backend server, one queue for each selector and
- * availability zone. They try again when an answer has freed a slot, and at random moments (random local search of Ganesh and others, 2010):
- * slots that other entry instances freed are seen by trying alone. Thread-safe.
+ * Where requests wait for a free backend server, one queue for each selector and availability zone.
+ * They try again when an answer has freed a slot, and at random moments (random local search of
+ * Ganesh and others, 2010): slots that other entry instances freed are seen by trying alone.
+ * Thread-safe.
  */
 final class WaitingRoom {
   private static final int CAPACITY = 512;
@@ -72,8 +73,7 @@
       displaced = line.queue.offer(waiter.organisation(), waiter);
     }
     displaced.ifPresent(Waiter::giveUp);
-    timer.schedule(
-        () -> expire(name, waiter), remainingNanoseconds, TimeUnit.NANOSECONDS);
+    timer.schedule(() -> expire(name, waiter), remainingNanoseconds, TimeUnit.NANOSECONDS);
     wake(name);
   }
 
--- a/weirhttp/src/main/java/org/corianderweir/http/HopByHop.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HopByHop.java
@@ -1,6 +1,8 @@
 package org.corianderweir.http;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 
@@ -27,7 +29,22 @@
 
   /** Returns the fields that may be handed on. */
   public static HttpHeaders strip(HttpHeaders headers) {
-    Set<String> names = new HashSet<>(NAMES);
+    Set<String> named = namedByConnection(headers);
+    List<HttpHeader> kept = new ArrayList<>(headers.fields().size());
+    for (HttpHeader field : headers.fields()) {
+      String name = field.name().toLowerCase(Locale.ROOT);
+      if (!NAMES.contains(name) && !named.contains(name)) {
+        kept.add(field);
+      }
+    }
+    return new HttpHeaders(kept);
+  }
+
+  private static Set<String> namedByConnection(HttpHeaders headers) {
+    if (headers.first("connection").isEmpty()) {
+      return Set.of();
+    }
+    Set<String> names = new HashSet<>();
     for (HttpHeader field : headers.fields()) {
       if (field.name().equalsIgnoreCase("connection")) {
         for (String token : field.value().split(",")) {
@@ -35,6 +52,6 @@
         }
       }
     }
-    return headers.without(names);
+    return names;
   }
 }
--- a/weirlib/src/main/java/org/corianderweir/protocol/OperatorMessages.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/OperatorMessages.java
@@ -1,7 +1,9 @@
 package org.corianderweir.protocol;
 
 import java.util.List;
+import org.corianderweir.logic.delivery.DrainState;
 import org.corianderweir.logic.membership.Member;
+import org.corianderweir.model.configuration.AcceptedChange;
 import org.corianderweir.model.timeline.TimelineEvent;
 import org.corianderweir.model.topology.InstanceState;
 
@@ -49,6 +51,13 @@
    */
   public record Meters(List<MeterValue> meters) {}
 
+  /**
+   * The latest changes of the configuration.
+   *
+   * @param changes the changes, the last one first
+   */
+  public record History(List<AcceptedChange> changes) {}
+
   /**
    * A change was accepted.
    *
@@ -71,4 +80,11 @@
    * @param message what happened
    */
   public record Failure(String code, String message) {}
+
+  /**
+   * The backend servers that are leaving, as one entry instance sees them.
+   *
+   * @param drains the drains
+   */
+  public record Drains(List<DrainState> drains) {}
 }
