--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -30,7 +30,7 @@
   private BenchMain() {}
 
   /** A command of the program. */
-  private interface Command {
+  interface Command {
     int run() throws InterruptedException;
   }
 
@@ -162,6 +162,7 @@
             "platform", new PlatformCommand(),
             "backend", new BackendCommand(),
             "demo", new DemoCommand(),
+            "run", new RunCommand(),
             "look-up", new LookupCommand(),
             "benchmark", new BenchmarkCommand(),
             "choice-experiment", new ChoiceCommand(),
--- a/weirdaemon/src/test/java/org/corianderweir/daemon/traffic/TestEntry.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/traffic/TestEntry.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.corianderweir.daemon.SystemTimeSource;
@@ -60,14 +61,7 @@
     Delivery delivery = new Delivery(name, client, refusals, events, metrics, time);
     pipeline =
         new RequestPipeline(
-            name,
-            this::admit,
-            () -> KeyFreshnessView.UNCONFIRMED,
-            gate,
-            delivery,
-            refusals,
-            metrics,
-            time);
+            name, this::admit, TestEntry::fresh, gate, delivery, refusals, metrics, time);
     Configuration configuration =
         Configuration.builder()
             .zones(List.of(new AvailabilityZone("zone", "region", List.of())))
@@ -89,6 +83,10 @@
     members.add(new Member(self, 1, InstanceState.SERVING, 1));
   }
 
+  private static KeyFreshnessView fresh() {
+    return new KeyFreshnessView(true, System.nanoTime(), Map.of());
+  }
+
   static List<Member> noMembers() {
     return new CopyOnWriteArrayList<>();
   }
@@ -130,7 +128,8 @@
         : pipeline.answer(call, snapshot);
   }
 
-  private CompletableFuture<AdmissionDecision> admit(String organisation, long deadline, long now) {
+  private CompletableFuture<AdmissionDecision> admit(
+      String organisation, long deadlineNanoseconds, long now) {
     return CompletableFuture.completedFuture(
         admits ? new AdmissionDecision.Admitted() : new AdmissionDecision.Refused(1));
   }
--- /dev/null
+++ b/weirhttp/src/main/java/org/corianderweir/http/ConnectionGuard.java
@@ -0,0 +1,131 @@
+package org.corianderweir.http;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.nio.NIOConnection;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Bounds what callers can hold: connections in all and from one address, the time to send a whole
+ * request, and the time to take an answer. Whoever goes beyond loses the connection; others don't
+ * notice.
+ */
+final class ConnectionGuard extends BaseFilter {
+  private static final Attribute<Long> READING_SINCE =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("corianderweir.http.readingSince");
+  private static final long SWEEP_MILLISECONDS = 500;
+
+  private final int connectionLimit;
+  private final int connectionLimitPerAddress;
+  private final Duration transferLimit;
+  private final Map<Connection<?>, InetAddress> connections = new ConcurrentHashMap<>();
+  private final Map<InetAddress, Integer> countByAddress = new ConcurrentHashMap<>();
+  private final Map<Connection<?>, Long> writingSince = new HashMap<>();
+  private final ScheduledThreadPoolExecutor sweeper;
+
+  /**
+   * Creates a guard.
+   *
+   * @param transferLimit longest time to send a request or to take an answer
+   */
+  ConnectionGuard(
+      String name, int connectionLimit, int connectionLimitPerAddress, Duration transferLimit) {
+    this.connectionLimit = connectionLimit;
+    this.connectionLimitPerAddress = connectionLimitPerAddress;
+    this.transferLimit = transferLimit;
+    sweeper =
+        new ScheduledThreadPoolExecutor(
+            1,
+            task -> {
+              Thread thread = new Thread(task, name + "-guard");
+              thread.setDaemon(true);
+              return thread;
+            });
+  }
+
+  void start() {
+    sweeper.scheduleWithFixedDelay(
+        () -> sweep(System.nanoTime()),
+        SWEEP_MILLISECONDS,
+        SWEEP_MILLISECONDS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  void stop() {
+    sweeper.shutdownNow();
+  }
+
+  /** The request was read to its end. */
+  static void requestRead(Connection<?> connection) {
+    READING_SINCE.remove(connection);
+  }
+
+  @Override
+  public NextAction handleAccept(FilterChainContext context) {
+    Connection<?> connection = context.getConnection();
+    InetAddress address = ((InetSocketAddress) connection.getPeerAddress()).getAddress();
+    int fromAddress = countByAddress.merge(address, 1, Integer::sum);
+    connections.put(connection, address);
+    connection.addCloseListener((closeable, type) -> forget(connection));
+    if (connections.size() > connectionLimit || fromAddress > connectionLimitPerAddress) {
+      connection.closeSilently();
+      return context.getStopAction();
+    }
+    READING_SINCE.set(connection, System.nanoTime());
+    return context.getInvokeAction();
+  }
+
+  @Override
+  public NextAction handleRead(FilterChainContext context) {
+    Connection<?> connection = context.getConnection();
+    if (READING_SINCE.get(connection) == null) {
+      READING_SINCE.set(connection, System.nanoTime());
+    }
+    return context.getInvokeAction();
+  }
+
+  private void forget(Connection<?> connection) {
+    InetAddress address = connections.remove(connection);
+    if (address != null) {
+      countByAddress.computeIfPresent(
+          address, (unused, count) -> count > 1 ? Integer.valueOf(count - 1) : null);
+    }
+  }
+
+  /** Terminates: a graceful close would wait for a caller that takes nothing. */
+  private void sweep(long nowNanoseconds) {
+    for (Connection<?> connection : connections.keySet()) {
+      Long reading = READING_SINCE.get(connection);
+      if (isLate(reading, nowNanoseconds) || isLate(writing(connection), nowNanoseconds)) {
+        connection.terminateSilently();
+      }
+    }
+    writingSince.keySet().retainAll(connections.keySet());
+  }
+
+  private boolean isLate(@Nullable Long since, long nowNanoseconds) {
+    return since != null && nowNanoseconds - since > transferLimit.toNanos();
+  }
+
+  /** Returns since when bytes of an answer wait for the caller to take them. */
+  private @Nullable Long writing(Connection<?> connection) {
+    boolean waits = !((NIOConnection) connection).getAsyncWriteQueue().isEmpty();
+    if (!waits) {
+      writingSince.remove(connection);
+      return null;
+    }
+    return writingSince.computeIfAbsent(connection, unused -> System.nanoTime());
+  }
+}
--- a/weirhttp/src/main/java/org/corianderweir/http/EndpointHandler.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/EndpointHandler.java
@@ -47,6 +47,7 @@
   }
 
   private void answer(Request request, Response response, byte[] body) {
+    ConnectionGuard.requestRead(request.getContext().getConnection());
     CompletableFuture<HttpReply> reply;
     try {
       reply = endpoint.handle(call(request, body));
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
+import org.glassfish.grizzly.asyncqueue.AsyncQueueWriter;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.http.HttpServerFilter;
@@ -19,11 +20,18 @@
   private static final int HEADER_LIMIT_BYTES = 16 * 1024;
 
   private final HttpServer server;
+  private final ConnectionGuard guard;
   private final NetworkListener listener;
 
   /** Creates a server that does not listen yet. */
   public HttpListener(HttpListenerOptions options, HttpEndpoint endpoint) {
     server = new HttpServer();
+    guard =
+        new ConnectionGuard(
+            options.name(),
+            options.connectionLimit(),
+            options.connectionLimitPerAddress(),
+            options.transferLimit());
     listener = new NetworkListener(options.name(), options.host(), options.port());
     listener.getKeepAlive().setIdleTimeoutInSeconds(IDLE_SECONDS);
     listener.getKeepAlive().setMaxRequestsCount(-1);
@@ -37,7 +45,12 @@
                 .setCorePoolSize(options.workerThreads())
                 .setMaxPoolSize(options.workerThreads()));
     listener.getTransport().setSelectorRunnersCount(1);
-    listener.registerAddOn(HttpListener::setFilters);
+    listener.registerAddOn((unused, filters) -> setFilters(filters));
+    listener
+        .getTransport()
+        .getAsyncQueueIO()
+        .getWriter()
+        .setMaxPendingBytesPerConnection(AsyncQueueWriter.UNLIMITED_SIZE);
     server.addListener(listener);
     server.getServerConfiguration().setName("corianderweir-" + options.name());
     server
@@ -45,13 +58,15 @@
         .addHttpHandler(new EndpointHandler(endpoint, options.bodyLimitBytes()), "/");
   }
 
-  private static void setFilters(NetworkListener listener, FilterChainBuilder filters) {
+  private void setFilters(FilterChainBuilder filters) {
     int position = filters.indexOfType(HttpServerFilter.class);
     DelayedExecutor executor = IdleTimeoutFilter.createDefaultIdleDelayedExecutor();
     executor.start();
     filters.set(
         position, new StrictServerFilter(HEADER_LIMIT_BYTES, listener.getKeepAlive(), executor));
-    filters.add(filters.indexOfType(TransportFilter.class) + 1, new CallerWatchFilter());
+    int afterTransport = filters.indexOfType(TransportFilter.class) + 1;
+    filters.add(afterTransport, new CallerWatchFilter());
+    filters.add(afterTransport + 1, guard);
   }
 
   /**
@@ -62,6 +77,7 @@
   public void start() {
     try {
       server.start();
+      guard.start();
     } catch (IOException failure) {
       throw new WeirException(
           ErrorCode.CONNECT_FAILED,
@@ -77,6 +93,7 @@
 
   /** Stops to accept connections and closes those that are idle after the given time. */
   public void stop(long graceMilliseconds) {
+    guard.stop();
     server.shutdown(graceMilliseconds, TimeUnit.MILLISECONDS);
   }
 }
