--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -11,12 +11,14 @@
 import org.corianderweir.bench.backend.BackendStandIn;
 import org.corianderweir.bench.backend.JournalFile;
 import org.corianderweir.bench.backend.ServerPlan;
+import org.corianderweir.bench.choice.ChoiceExperiment;
 import org.corianderweir.bench.configuration.InForceExperiment;
 import org.corianderweir.bench.demo.Demonstration;
 import org.corianderweir.bench.deployment.DeploymentFiles;
 import org.corianderweir.bench.limits.LimitsExperiment;
 import org.corianderweir.bench.limits.ScaleExperiment;
 import org.corianderweir.bench.lookup.LookupExperiment;
+import org.corianderweir.bench.overhead.OverheadMeasurement;
 import org.corianderweir.bench.platform.PlatformRates;
 import org.corianderweir.bench.platform.PlatformStandIn;
 import org.corianderweir.daemon.SystemTimeSource;
@@ -167,6 +169,36 @@
     }
   }
 
+  /** Measures what an entry instance adds to a direct call. */
+  private static final class OverheadCommand implements Command {
+    @Parameter(names = "--seed", description = "seed of the random numbers")
+    private long seed = 1;
+
+    @Parameter(names = "--deployment", description = "name of a file in deployments/")
+    private String deployment = "adebayo";
+
+    @Parameter(names = "--first-port", description = "first TCP port that is used")
+    private int firstPort = 20_000;
+
+    @Override
+    public int run() {
+      return new OverheadMeasurement(DeploymentFiles.read(deployment), firstPort, System.out)
+          .run(seed);
+    }
+  }
+
+  /** Weighs ways to choose a backend server. */
+  private static final class ChoiceCommand implements Command {
+    @Parameter(names = "--seed", description = "seed of the random numbers")
+    private long seed = 1;
+
+    @Override
+    public int run() {
+      new ChoiceExperiment(System.out).run(seed);
+      return 0;
+    }
+  }
+
   /** Runs the command that the arguments name. */
   public static void main(String[] arguments) throws InterruptedException {
     Map<String, Command> commands =
@@ -178,7 +210,9 @@
             "run", new RunCommand(),
             "in-force", new InForceCommand(),
             "look-up", new LookupCommand(),
-            "benchmark", new BenchmarkCommand());
+            "benchmark", new BenchmarkCommand(),
+            "choice-experiment", new ChoiceCommand(),
+            "overhead", new OverheadCommand());
     JCommander commander = JCommander.newBuilder().programName("weirbench").build();
     commands.forEach(commander::addCommand);
     try {
--- a/weirctl/src/main/java/org/corianderweir/ctl/command/DrainCommands.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/command/DrainCommands.java
@@ -43,12 +43,23 @@
     @Override
     public Result run(Session session) {
       DrainMessages.Drains drains = session.read(Operations.DRAINS);
-      TextTable table = new TextTable("SERVER", "SERVICE", "ZONE");
+      TextTable table = new TextTable("SERVER", "SERVICE", "ZONE", "IN FLIGHT", "ENDED AFTER");
       drains
           .servers()
           .forEach(
-              server -> table.add(server.server(), server.service(), server.availabilityZone()));
+              server ->
+                  table.add(
+                      server.server(),
+                      server.service(),
+                      server.availabilityZone(),
+                      server.requestsInFlight(),
+                      endedAfter(server)));
       return new Result(drains, table.lines());
     }
+
+    private static String endedAfter(DrainMessages.DrainedServer server) {
+      long milliseconds = server.drainedAfterMilliseconds();
+      return milliseconds < 0 ? "running" : milliseconds + " ms";
+    }
   }
 }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -96,6 +96,7 @@
                 events,
                 metrics,
                 time,
+                traffic::drains,
                 stopRequested::countDown));
     kernel
         .register(EventLog.NAME, events)
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/DrainOperations.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/DrainOperations.java
@@ -1,6 +1,11 @@
 package org.corianderweir.daemon.operator;
 
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.corianderweir.logic.configuration.ConfigurationChange;
+import org.corianderweir.logic.delivery.DrainState;
 import org.corianderweir.model.configuration.BackendServer;
 import org.corianderweir.protocol.operator.DrainMessages;
 import org.corianderweir.protocol.operator.Operations;
@@ -26,13 +31,22 @@
   }
 
   private DrainMessages.Drains drains() {
-    return new DrainMessages.Drains(
+    Map<String, BackendServer> servers =
         context.configuration().inForce().backendServers().stream()
-            .filter(BackendServer::drained)
-            .map(
-                server ->
-                    new DrainMessages.DrainedServer(
-                        server.name(), server.service(), server.availabilityZone()))
+            .collect(Collectors.toMap(BackendServer::name, Function.identity()));
+    return new DrainMessages.Drains(
+        context.drains().get().stream()
+            .filter(state -> servers.containsKey(state.server()))
+            .map(state -> drained(Objects.requireNonNull(servers.get(state.server())), state))
             .toList());
   }
+
+  private static DrainMessages.DrainedServer drained(BackendServer server, DrainState state) {
+    return new DrainMessages.DrainedServer(
+        server.name(),
+        server.service(),
+        server.availabilityZone(),
+        state.requestsInFlight(),
+        state.drainedAfterMilliseconds());
+  }
 }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorContext.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorContext.java
@@ -1,12 +1,15 @@
 package org.corianderweir.daemon.operator;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.List;
+import java.util.function.Supplier;
 import org.corianderweir.daemon.control.ConfigurationService;
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.daemon.control.MembershipService;
 import org.corianderweir.daemon.settings.DaemonSettings;
 import org.corianderweir.daemon.steering.SteeringService;
 import org.corianderweir.kernel.TimeSource;
+import org.corianderweir.logic.delivery.DrainState;
 
 /**
  * What the operators' operations work on.
@@ -18,6 +21,7 @@
  * @param events the latest events
  * @param metrics meters
  * @param time clocks
+ * @param drains backend servers that are leaving, as this instance sees them
  * @param planStop begins a planned stop of the process
  */
 public record OperatorContext(
@@ -28,4 +32,5 @@
     EventLog events,
     MetricRegistry metrics,
     TimeSource time,
+    Supplier<List<DrainState>> drains,
     Runnable planStop) {}
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/IssuerForwarder.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/IssuerForwarder.java
@@ -22,6 +22,8 @@
  * outcome is unknown: the issuer may have let an earlier request with the identifier run.
  */
 final class IssuerForwarder {
+  private static final Duration MARGIN = Duration.ofMillis(50);
+
   private final String instanceName;
   private final HttpClient client;
   private final Supplier<List<Member>> members;
@@ -74,11 +76,17 @@
     HttpHeaders headers =
         HopByHop.strip(call.headers())
             .without(java.util.Set.of("weir-deadline-milliseconds"))
-            .with(CallerHeaders.DEADLINE_MILLISECONDS, Long.toString(remaining.toMillis()))
+            .with(CallerHeaders.DEADLINE_MILLISECONDS, Long.toString(issuerMilliseconds(remaining)))
             .with(CallerHeaders.FORWARDED_BY, instanceName);
     return new HttpCall(call.method(), call.target(), headers, call.body());
   }
 
+  /** The issuer gets a little less time, so that its refusal arrives before the deadline. */
+  private static long issuerMilliseconds(Duration remaining) {
+    long margin = Math.min(MARGIN.toMillis(), remaining.toMillis() / 4);
+    return remaining.toMillis() - margin;
+  }
+
   private HttpReply unknown(RequestContext context, String message) {
     return refusals.refuse(context.name(), RefusalReason.OUTCOME_UNKNOWN, message);
   }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Refusals.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Refusals.java
@@ -12,7 +12,6 @@
 /** Writes refusals as HTTP answers, counts them and records them on the time line. */
 final class Refusals {
   private static final String RETRY_AFTER_SECONDS = "1";
-
   private static final long MILLISECONDS_PER_SECOND = 1_000;
 
   private final String instanceName;
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestPipeline.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestPipeline.java
@@ -19,6 +19,7 @@
 import org.corianderweir.logic.steering.RouteDecision;
 import org.corianderweir.model.configuration.Selector;
 import org.corianderweir.model.request.RefusalReason;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Takes one request through its stages: form, route, key, identifier, rate, delivery. Each stage
@@ -30,10 +31,10 @@
 
   private final String instanceName;
   private final RateAdmission admission;
+  private final Supplier<KeyFreshnessView> keyFreshness;
   private final RunOnceGate gate;
   private final Delivery delivery;
   private final Refusals refusals;
-  private final Supplier<KeyFreshnessView> keyFreshness;
   private final TimeSource time;
   private final Meter requests;
   private final AtomicLong lastNumber = new AtomicLong();
@@ -133,24 +134,54 @@
     if (context.organisation().isEmpty()) {
       return delivery.deliver(context);
     }
-    return admission
-        .admit(
+    CompletableFuture<AdmissionDecision> decision =
+        admission.admit(
             context.organisation().get(),
             context.deadlineNanoseconds(),
-            time.monotonicNanoseconds())
-        .thenCompose(
-            decision ->
-                switch (decision) {
-                  case AdmissionDecision.Admitted admitted -> delivery.deliver(context);
-                  case AdmissionDecision.Refused refused ->
-                      CompletableFuture.completedFuture(
-                          Refusals.retryAfter(
-                              refusals.refuse(
-                                  context.name(),
-                                  RefusalReason.RATE_EXCEEDED,
-                                  "the organisation is over its rate"),
-                              refused.retryAfterMilliseconds()));
-                });
+            time.monotonicNanoseconds());
+    return decision.isDone() && !decision.isCompletedExceptionally()
+        ? admitted(context, decision.join())
+        : awaitAdmission(context, decision);
+  }
+
+  /** Whoever goes away while waiting is not delivered; later, the delivery is cancelled. */
+  private CompletableFuture<HttpReply> awaitAdmission(
+      RequestContext context, CompletableFuture<AdmissionDecision> pending) {
+    CompletableFuture<HttpReply> result = new CompletableFuture<>();
+    pending.whenComplete(
+        (decision, failure) -> {
+          if (result.isDone()) {
+            return;
+          }
+          CompletableFuture<HttpReply> delivered =
+              failure == null
+                  ? admitted(context, decision)
+                  : CompletableFuture.failedFuture(failure);
+          result.whenComplete((reply, cancelled) -> delivered.cancel(false));
+          delivered.whenComplete((reply, lost) -> result.complete(replyOrRefusal(context, reply)));
+        });
+    return result;
+  }
+
+  private HttpReply replyOrRefusal(RequestContext context, @Nullable HttpReply reply) {
+    return reply != null
+        ? reply
+        : refusals.refuse(context.name(), RefusalReason.OUTCOME_UNKNOWN, "the request failed here");
+  }
+
+  private CompletableFuture<HttpReply> admitted(
+      RequestContext context, AdmissionDecision decision) {
+    return switch (decision) {
+      case AdmissionDecision.Admitted admitted -> delivery.deliver(context);
+      case AdmissionDecision.Refused refused ->
+          CompletableFuture.completedFuture(
+              Refusals.retryAfter(
+                  refusals.refuse(
+                      context.name(),
+                      RefusalReason.RATE_EXCEEDED,
+                      "the organisation is over its rate"),
+                  refused.retryAfterMilliseconds()));
+    };
   }
 
   private CompletableFuture<HttpReply> refuse(
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
@@ -4,7 +4,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 import org.corianderweir.daemon.control.ConfigurationService;
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.daemon.control.LimitService;
@@ -21,11 +24,14 @@
 import org.corianderweir.kernel.ServiceDirectory;
 import org.corianderweir.kernel.ServiceName;
 import org.corianderweir.kernel.TimeSource;
+import org.corianderweir.logic.delivery.DrainState;
+import org.corianderweir.logic.delivery.DrainTracker;
 import org.corianderweir.logic.delivery.RequestIdentifier;
 import org.corianderweir.logic.lookup.EntrySelector;
 import org.corianderweir.logic.lookup.LookupDirectory;
 import org.corianderweir.logic.steering.SteeringTable;
 import org.corianderweir.model.configuration.AvailabilityZone;
+import org.corianderweir.model.configuration.BackendServer;
 import org.corianderweir.model.configuration.Configuration;
 import org.corianderweir.model.request.LookupAnswer;
 import org.corianderweir.model.request.RefusalReason;
@@ -43,11 +49,19 @@
   public static final String LOOKUP_PATH = "/.weir/look-up";
 
   private static final int ANSWER_LIMIT_BYTES = 8 * 1024 * 1024;
+
+  /** Connections that a backend server takes from all entry instances together. */
+  private static final int CONNECTION_LIMIT = 660;
+
+  /** Largest number of entry instances that share the connections of a backend server. */
+  private static final int ENTRY_INSTANCES = 18;
+
   private static final int WORKER_THREADS = 4;
   private static final int STATUS_OK = 200;
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration IDLE_LIFETIME = Duration.ofSeconds(30);
   private static final Duration STOP_POLL_PERIOD = Duration.ofMillis(20);
+  private static final Duration WRITE_GRACE = Duration.ofSeconds(1);
   private static final Duration STOP_LIMIT = Duration.ofSeconds(65);
 
   private final EntryInstance self;
@@ -62,6 +76,8 @@
   private final Delivery delivery;
   private final RunOnceGate gate;
   private final RequestPipeline pipeline;
+  private final AtomicInteger openCalls = new AtomicInteger();
+  private final DrainTracker drains = new DrainTracker();
   private volatile LookupDirectory lookups = LookupDirectory.EMPTY;
   private volatile TrafficSnapshot snapshot =
       TrafficSnapshot.of(Configuration.EMPTY, () -> SteeringTable.EMPTY);
@@ -85,7 +101,9 @@
     client =
         new HttpClient(
             new HttpClientOptions("backend", CONNECT_TIMEOUT, IDLE_LIFETIME, ANSWER_LIMIT_BYTES)
-                .from(self.host()));
+                .from(self.host())
+                .withConnectionsPerAddress(CONNECTION_LIMIT / ENTRY_INSTANCES)
+                .openingAhead());
     refusals = new Refusals(self.name(), events, metrics);
     delivery = new Delivery(self.name(), client, refusals, events, metrics, time);
     gate =
@@ -133,10 +151,11 @@
     long lookupsExpired = time.monotonicNanoseconds() + lookupLifetime.toNanos();
     long limit = time.monotonicNanoseconds() + STOP_LIMIT.toNanos();
     while (time.monotonicNanoseconds() < lookupsExpired
-        || (delivery.requestsInFlight() > 0 && time.monotonicNanoseconds() < limit)) {
+        || (openCalls.get() > 0 && time.monotonicNanoseconds() < limit)) {
       sleep();
     }
-    listener.stop(STOP_POLL_PERIOD.toMillis());
+    listener.stop(WRITE_GRACE.toMillis());
+    delivery.stop();
     client.stop();
   }
 
@@ -151,9 +170,37 @@
   private void adopt(Configuration changed) {
     lookups = lookups.updated(changed);
     snapshot = TrafficSnapshot.of(changed, steering::table);
+    drains.adopt(changed, time.wallMilliseconds());
+    delivery.health().keepOnly(serversInUse(changed));
+  }
+
+  private static Set<String> serversInUse(Configuration changed) {
+    return changed.backendServers().stream()
+        .filter(server -> !server.drained())
+        .map(BackendServer::name)
+        .collect(Collectors.toSet());
+  }
+
+  /** Returns the backend servers that are drained and what this entry instance has there. */
+  public List<DrainState> drains() {
+    return drains.states(delivery::inFlight, time.wallMilliseconds());
   }
 
   private CompletableFuture<HttpReply> answer(HttpCall call) {
+    openCalls.incrementAndGet();
+    CompletableFuture<HttpReply> reply = route(call);
+    reply.whenComplete((answer, failure) -> openCalls.decrementAndGet());
+    return membership.state() == InstanceState.LEAVING ? closing(reply) : reply;
+  }
+
+  /** Callers that keep a connection open would otherwise lose it between two requests. */
+  private static CompletableFuture<HttpReply> closing(CompletableFuture<HttpReply> reply) {
+    CompletableFuture<HttpReply> last = reply.thenApply(HttpReply::closing);
+    last.whenComplete((answer, failure) -> reply.cancel(false));
+    return last;
+  }
+
+  private CompletableFuture<HttpReply> route(HttpCall call) {
     if (membership.state() == InstanceState.JOINING) {
       return CompletableFuture.completedFuture(notServing(call));
     }
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
@@ -112,6 +112,9 @@
     } else {
       exchange.failUnsent("all connections are in use", new ConnectException());
     }
+    if (options.opensAhead()) {
+      openAhead(address);
+    }
     return exchange.reply();
   }
 
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpClientOptions.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpClientOptions.java
@@ -12,6 +12,7 @@
  * @param answerLimitBytes largest body that is accepted
  * @param localHost IP address that connections start from; empty lets the system choose
  * @param connectionsPerAddress connections to one address at the same time, opening ones too
+ * @param opensAhead whether a connection is opened when the last idle one is taken
  */
 public record HttpClientOptions(
     String name,
@@ -19,7 +20,8 @@
     Duration idleLifetime,
     int answerLimitBytes,
     Optional<String> localHost,
-    int connectionsPerAddress) {
+    int connectionsPerAddress,
+    boolean opensAhead) {
   private static final int DEFAULT_CONNECTIONS_PER_ADDRESS = 256;
 
   /** Creates options that let the system choose the local address. */
@@ -31,7 +33,8 @@
         idleLifetime,
         answerLimitBytes,
         Optional.empty(),
-        DEFAULT_CONNECTIONS_PER_ADDRESS);
+        DEFAULT_CONNECTIONS_PER_ADDRESS,
+        false);
   }
 
   /** Returns the same options with connections that start from the given IP address. */
@@ -42,12 +45,27 @@
         idleLifetime,
         answerLimitBytes,
         Optional.of(host),
-        connectionsPerAddress);
+        connectionsPerAddress,
+        opensAhead);
   }
 
   /** Returns the same options with another bound on the connections to one address. */
   public HttpClientOptions withConnectionsPerAddress(int connections) {
     return new HttpClientOptions(
-        name, connectTimeout, idleLifetime, answerLimitBytes, localHost, connections);
+        name, connectTimeout, idleLifetime, answerLimitBytes, localHost, connections, opensAhead);
+  }
+
+  /**
+   * Returns the same options with a connection opened ahead whenever the last idle one is taken.
+   */
+  public HttpClientOptions openingAhead() {
+    return new HttpClientOptions(
+        name,
+        connectTimeout,
+        idleLifetime,
+        answerLimitBytes,
+        localHost,
+        connectionsPerAddress,
+        true);
   }
 }
--- /dev/null
+++ b/weirhttp/src/test/java/org/corianderweir/http/ConnectionGuardTest.java
@@ -0,0 +1,155 @@
+package org.corianderweir.http;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests that callers which are slow, half-open or too many cost the others nothing. */
+public class ConnectionGuardTest {
+  private static final Duration TRANSFER = Duration.ofSeconds(1);
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+  private static final int CONNECTIONS = 8;
+  private static final int LARGE_ANSWER_BYTES = 16 * 1024 * 1024;
+  private static final int PATIENCE_MILLISECONDS = 10_000;
+
+  private HttpListener listener;
+  private HttpClient client;
+
+  @BeforeMethod
+  public void start() {
+    listener =
+        new HttpListener(
+            new HttpListenerOptions("guarded", "127.0.0.1", 0, 64, 2)
+                .bounded(CONNECTIONS, CONNECTIONS, TRANSFER),
+            call ->
+                CompletableFuture.completedFuture(
+                    call.path().equals("/large")
+                        ? new HttpReply(200, HttpHeaders.NONE, new byte[LARGE_ANSWER_BYTES])
+                        : HttpReply.json(200, "{}")));
+    listener.start();
+    client = new HttpClient(new HttpClientOptions("caller", TIMEOUT, TIMEOUT, 1024));
+    client.start();
+  }
+
+  @AfterMethod
+  public void stop() {
+    client.stop();
+    listener.stop(0);
+  }
+
+  @DataProvider
+  public Object[][] slowCallers() {
+    return new Object[][] {
+      {"silent", ""},
+      {"slow head", "GET / HTTP/1.1\r\nHo"},
+      {"slow body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf"},
+      {"slow chunk", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"}
+    };
+  }
+
+  /** More slow callers than worker threads; another caller is served, and they are closed. */
+  @Test(dataProvider = "slowCallers")
+  public void slowCallersCostOthersNothing(String name, String sent) throws IOException {
+    List<Socket> sockets = new ArrayList<>();
+    try {
+      for (int count = 0; count < CONNECTIONS - 2; count++) {
+        Socket socket = new Socket("127.0.0.1", listener.port());
+        socket.getOutputStream().write(sent.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+        sockets.add(socket);
+      }
+      int served = get();
+      assertEquals(List.of(served, closed(sockets)), List.of(200, CONNECTIONS - 2), name);
+    } finally {
+      for (Socket socket : sockets) {
+        socket.close();
+      }
+    }
+  }
+
+  @Test
+  public void callersThatTakeNoAnswerCostOthersNothing() throws Exception {
+    List<Socket> sockets = new ArrayList<>();
+    try {
+      for (int count = 0; count < CONNECTIONS - 2; count++) {
+        Socket socket = new Socket("127.0.0.1", listener.port());
+        socket.getOutputStream().write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n".getBytes());
+        sockets.add(socket);
+      }
+      int served = get();
+      int closed = 0;
+      for (Socket socket : sockets) {
+        closed += isClosedByServer(socket) ? 1 : 0;
+      }
+      assertEquals(List.of(served, closed), List.of(200, CONNECTIONS - 2));
+    } finally {
+      for (Socket socket : sockets) {
+        socket.close();
+      }
+    }
+  }
+
+  /** Writes until the server's reset comes back; reading would take the answer. */
+  private static boolean isClosedByServer(Socket socket) throws InterruptedException {
+    for (int count = 0; count < 200; count++) {
+      try {
+        socket.getOutputStream().write('x');
+      } catch (IOException reset) {
+        return true;
+      }
+      Thread.sleep(50);
+    }
+    return false;
+  }
+
+  @Test
+  public void connectionsAreBounded() throws IOException {
+    List<Socket> sockets = new ArrayList<>();
+    try {
+      for (int count = 0; count < CONNECTIONS + 3; count++) {
+        sockets.add(new Socket("127.0.0.1", listener.port()));
+      }
+      assertEquals(closed(sockets.subList(CONNECTIONS, CONNECTIONS + 3)), 3);
+    } finally {
+      for (Socket socket : sockets) {
+        socket.close();
+      }
+    }
+  }
+
+  private int get() {
+    return client
+        .exchange(new HttpAddress("127.0.0.1", listener.port()), HttpCall.of("GET", "/"), TIMEOUT)
+        .join()
+        .status();
+  }
+
+  /** Returns how many connections the server closed; what was sent before is read first. */
+  private static int closed(List<Socket> sockets) throws IOException {
+    int closed = 0;
+    for (Socket socket : sockets) {
+      socket.setSoTimeout(PATIENCE_MILLISECONDS);
+      try {
+        while (socket.getInputStream().read(new byte[1 << 16]) >= 0) {
+          // Only the end matters.
+        }
+        closed++;
+      } catch (java.net.SocketTimeoutException open) {
+        break;
+      } catch (IOException reset) {
+        closed++;
+      }
+    }
+    return closed;
+  }
+}
--- /dev/null
+++ b/weirlib/src/main/java/org/corianderweir/logic/delivery/DrainTracker.java
@@ -0,0 +1,53 @@
+package org.corianderweir.logic.delivery;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.ToIntFunction;
+import org.corianderweir.model.configuration.BackendServer;
+import org.corianderweir.model.configuration.Configuration;
+
+/** Remembers since when backend servers are drained, and when they had ended. Thread-safe. */
+public final class DrainTracker {
+  private static final long RUNNING = -1;
+
+  private final Map<String, Drain> drains = new ConcurrentHashMap<>();
+
+  private record Drain(BackendServer server, long sinceMilliseconds, long endedMilliseconds) {}
+
+  /** Takes note of the servers that a configuration drains, and forgets the others. */
+  public void adopt(Configuration configuration, long wallMilliseconds) {
+    List<String> drained = new ArrayList<>();
+    for (BackendServer server : configuration.backendServers()) {
+      if (server.drained()) {
+        drained.add(server.name());
+        drains.putIfAbsent(server.name(), new Drain(server, wallMilliseconds, RUNNING));
+      }
+    }
+    drains.keySet().retainAll(drained);
+  }
+
+  /**
+   * Returns the state of each drain.
+   *
+   * @param inFlight requests in flight from here at a server
+   */
+  public List<DrainState> states(ToIntFunction<BackendServer> inFlight, long wallMilliseconds) {
+    List<DrainState> states = new ArrayList<>();
+    for (Drain drain : drains.values()) {
+      int running = inFlight.applyAsInt(drain.server());
+      long ended = drain.endedMilliseconds();
+      if (running == 0 && ended == RUNNING) {
+        ended = wallMilliseconds;
+        drains.replace(
+            drain.server().name(),
+            drain,
+            new Drain(drain.server(), drain.sinceMilliseconds(), ended));
+      }
+      long after = ended == RUNNING ? RUNNING : ended - drain.sinceMilliseconds();
+      states.add(new DrainState(drain.server().name(), running, drain.sinceMilliseconds(), after));
+    }
+    return states;
+  }
+}
--- a/weirlib/src/main/java/org/corianderweir/protocol/operator/DrainMessages.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/operator/DrainMessages.java
@@ -26,6 +26,13 @@
    * @param server name of the server
    * @param service service that it runs
    * @param availabilityZone its availability zone
+   * @param requestsInFlight requests that it still runs for the entry instance that answers
+   * @param drainedAfterMilliseconds how long the last of them took to end; -1 while some run
    */
-  public record DrainedServer(String server, String service, String availabilityZone) {}
+  public record DrainedServer(
+      String server,
+      String service,
+      String availabilityZone,
+      int requestsInFlight,
+      long drainedAfterMilliseconds) {}
 }
