Operators' interface tested; optional parameters may be left out; the tools ask every zone

Cause: since missing properties of JSON are errors, GET /in-force without a revision and explain without an organisation by query failed; OperatorServiceTest found it. An entry instance now knows only some instances of other zones, so weirctl asks one of each zone.

--- a/weirctl/src/main/java/org/corianderweir/ctl/OperatorClient.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/OperatorClient.java
@@ -58,22 +58,23 @@
   }
 
   /** Asks for something that changes nothing. */
-  public <Q, A> A read(Operation<Q, A> operation, Q request) {
+  public <Q extends Record, A> A read(Operation<Q, A> operation, Q request) {
     return Json.read(call(operation, request, Map.of(), true).bodyText(), operation.answerType());
   }
 
   /** Makes a change; one whose options name the operation may be sent again. */
-  public <Q, A> A write(Operation<Q, A> operation, Q request, Map<String, String> options) {
+  public <Q extends Record, A> A write(
+      Operation<Q, A> operation, Q request, Map<String, String> options) {
     return Json.read(call(operation, request, options, false).bodyText(), operation.answerType());
   }
 
   /** Asks what a change would do. */
-  public <Q, A, R> R tryOut(
+  public <Q extends Record, A, R> R tryOut(
       Operation<Q, A> operation, Q request, Map<String, String> options, Class<R> reportType) {
     return Json.read(call(operation, request, options, true).bodyText(), reportType);
   }
 
-  private <Q> HttpReply call(
+  private <Q extends Record> HttpReply call(
       Operation<Q, ?> operation, Q request, Map<String, String> options, boolean repeatable) {
     boolean hasBody =
         !operation.method().equals("GET") && !(request instanceof Operation.NoRequest);
--- a/weirctl/src/main/java/org/corianderweir/ctl/Session.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/Session.java
@@ -21,7 +21,8 @@
   }
 
   /** Makes a change, or tries it if the command line says so, and returns what came of it. */
-  public <Q> Result change(Operation<Q, OperatorMessages.Accepted> operation, Q request) {
+  public <Q extends Record> Result change(
+      Operation<Q, OperatorMessages.Accepted> operation, Q request) {
     return change(operation, request, options.expectedRevision(), Map.of());
   }
 
@@ -31,7 +32,7 @@
    * @param expectedRevision revision that the change is based on; the one in force if negative
    * @param further further options of the change
    */
-  public <Q> Result change(
+  public <Q extends Record> Result change(
       Operation<Q, OperatorMessages.Accepted> operation,
       Q request,
       long expectedRevision,
--- a/weirctl/src/main/java/org/corianderweir/ctl/command/InstanceCommands.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/command/InstanceCommands.java
@@ -44,7 +44,8 @@
   public static final class InstancesCommand implements Command {
     @Override
     public Result run(Session session) {
-      OperatorMessages.Instances instances = session.read(Operations.INSTANCES);
+      OperatorMessages.Instances instances =
+          new OperatorMessages.Instances(FleetMembers.all(session));
       TextTable table =
           new TextTable("INSTANCE", "REGION", "ZONE", "STATE", "REVISION", "OPERATORS");
       for (Member member : instances.members()) {
@@ -78,7 +79,7 @@
     public Result run(Session session) {
       List<InstanceMeters> all = new ArrayList<>();
       TextTable table = new TextTable("INSTANCE", "METER", "COUNT", "PER SECOND");
-      for (Member member : session.read(Operations.INSTANCES).members()) {
+      for (Member member : FleetMembers.all(session)) {
         InstanceMeters meters = meters(session, member.instance());
         all.add(meters);
         for (OperatorMessages.MeterValue meter : meters.meters()) {
@@ -115,7 +116,7 @@
     @Override
     public Result run(Session session) {
       EntryInstance instance =
-          session.read(Operations.INSTANCES).members().stream()
+          FleetMembers.all(session).stream()
               .map(Member::instance)
               .filter(each -> each.name().equals(name))
               .findFirst()
--- a/weirctl/src/main/java/org/corianderweir/ctl/command/TimelineCommand.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/command/TimelineCommand.java
@@ -43,7 +43,7 @@
   public Result run(Session session) {
     List<TimelineEvent> events = new ArrayList<>();
     List<String> unreachable = new ArrayList<>();
-    for (Member member : session.read(Operations.INSTANCES).members()) {
+    for (Member member : FleetMembers.all(session)) {
       EntryInstance instance = member.instance();
       try {
         events.addAll(
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/ConfigurationWriter.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/ConfigurationWriter.java
@@ -30,12 +30,13 @@
   }
 
   /** Makes a change of the configuration that is in force. */
-  interface ChangeMaker<Q> {
+  interface ChangeMaker<Q extends Record> {
     ConfigurationChange make(
         Q request, Configuration current, long wallMilliseconds, WriteOptions options);
   }
 
-  <Q> ConfigurationChange change(ChangeMaker<Q> maker, Q request, WriteOptions options) {
+  <Q extends Record> ConfigurationChange change(
+      ChangeMaker<Q> maker, Q request, WriteOptions options) {
     Configuration current = configuration.inForce();
     ConfigurationChange change =
         maker.make(request, current, context.time().wallMilliseconds(), options);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorService.java
@@ -81,7 +81,7 @@
     listener.stop(0);
   }
 
-  private CompletableFuture<HttpReply> handle(HttpCall call) {
+  CompletableFuture<HttpReply> handle(HttpCall call) {
     String shown = call.headers().first(CREDENTIAL_HEADER).orElse("");
     boolean known =
         MessageDigest.isEqual(
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/RouteTable.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/RouteTable.java
@@ -33,25 +33,26 @@
   }
 
   /** Answers an operation that changes something in another way than a plain change does. */
-  interface Writing<Q, A> {
+  interface Writing<Q extends Record, A> {
     CompletableFuture<A> handle(Q request, WriteOptions options);
   }
 
-  <Q, A> void read(Operation<Q, A> operation, Function<Q, A> handler) {
+  <Q extends Record, A> void read(Operation<Q, A> operation, Function<Q, A> handler) {
     put(
         operation,
         call -> CompletableFuture.completedFuture(handler.apply(request(operation, call))));
   }
 
-  <Q, A> void readLater(Operation<Q, A> operation, Function<Q, CompletableFuture<A>> handler) {
+  <Q extends Record, A> void readLater(
+      Operation<Q, A> operation, Function<Q, CompletableFuture<A>> handler) {
     put(operation, call -> handler.apply(request(operation, call)));
   }
 
-  <Q, A> void write(Operation<Q, A> operation, Writing<Q, A> handler) {
+  <Q extends Record, A> void write(Operation<Q, A> operation, Writing<Q, A> handler) {
     put(operation, call -> handler.handle(request(operation, call), WriteOptions.of(call)));
   }
 
-  <Q> void change(
+  <Q extends Record> void change(
       Operation<Q, OperatorMessages.Accepted> operation, ConfigurationWriter.ChangeMaker<Q> maker) {
     put(
         operation,
@@ -76,7 +77,7 @@
     handlers.put(operation.method() + " " + operation.path(), handler);
   }
 
-  private static <Q> Q request(Operation<Q, ?> operation, HttpCall call) {
+  private static <Q extends Record> Q request(Operation<Q, ?> operation, HttpCall call) {
     return call.body().length > 0
         ? Json.read(call.bodyText(), operation.requestType())
         : Json.fromFields(fields(call), operation.requestType());
--- /dev/null
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the operators' interface. */
+package org.corianderweir.daemon.operator;
--- a/weirlib/src/main/java/org/corianderweir/protocol/Json.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/Json.java
@@ -7,8 +7,10 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.lang.reflect.RecordComponent;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
 
@@ -74,13 +76,20 @@
   }
 
   /**
-   * Makes a record of named texts.
+   * Makes a record of named texts; optional components may be left out.
    *
    * @throws WeirException with code {@code JSON_INVALID}
    */
-  public static <T> T fromFields(Map<String, String> fields, Class<T> type) {
+  public static <T extends Record> T fromFields(Map<String, String> fields, Class<T> type) {
+    ObjectNode tree = emptyObject();
+    fields.forEach(tree::put);
+    for (RecordComponent component : type.getRecordComponents()) {
+      if (component.getType() == Optional.class && !tree.has(component.getName())) {
+        tree.putNull(component.getName());
+      }
+    }
     try {
-      return MAPPER.convertValue(fields, type);
+      return MAPPER.convertValue(tree, type);
     } catch (IllegalArgumentException failure) {
       String reason = "not a " + type.getSimpleName() + ": " + failure.getMessage();
       throw new WeirException(ErrorCode.JSON_INVALID, reason, failure);
--- a/weirlib/src/main/java/org/corianderweir/protocol/operator/Operation.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/operator/Operation.java
@@ -12,7 +12,7 @@
  * @param <Q> type of the request
  * @param <A> type of the answer
  */
-public record Operation<Q, A>(
+public record Operation<Q extends Record, A>(
     String method, String path, Class<Q> requestType, Class<A> answerType) {
   /** Query parameter with the revision that a change is based on. */
   public static final String EXPECTED_REVISION = "expected-revision";
@@ -36,7 +36,8 @@
     return new Operation<>("GET", path, NoRequest.class, answerType);
   }
 
-  static <Q, A> Operation<Q, A> post(String path, Class<Q> requestType, Class<A> answerType) {
+  static <Q extends Record, A> Operation<Q, A> post(
+      String path, Class<Q> requestType, Class<A> answerType) {
     return new Operation<>("POST", path, requestType, answerType);
   }
 }
