--- a/weirdaemon/src/test/java/org/corianderweir/daemon/operator/OperatorServiceTest.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/operator/OperatorServiceTest.java
@@ -66,7 +66,13 @@
     EntryInstance self = new EntryInstance("entry-1", "lagos", "z1", "127.0.0.1", 1, 1, 1);
     DaemonSettings settings =
         new DaemonSettings(
-            self, new HttpAddress("127.0.0.1", 1), CREDENTIAL, "peers", Duration.ofSeconds(1), 1);
+            self,
+            new DaemonSettings.ListenPorts(1, 1),
+            new HttpAddress("127.0.0.1", 1),
+            CREDENTIAL,
+            "peers",
+            Duration.ofSeconds(1),
+            1);
     SystemTimeSource time = new SystemTimeSource();
     EventLog events = new EventLog("entry-1", time);
     MetricRegistry metrics = new MetricRegistry();
