--- /dev/null
+++ b/weirbench/src/test/java/org/corianderweir/bench/network/NetworkRelayTest.java
@@ -0,0 +1,149 @@
+package org.corianderweir.bench.network;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import org.corianderweir.http.HttpAddress;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link NetworkRelay} with a server that sends back what it reads. */
+public final class NetworkRelayTest {
+  private static final String SERVER_HOST = "127.8.1.1";
+  private static final String CUT_HOST = "127.8.2.1";
+  private static final String OTHER_HOST = "127.8.3.1";
+  private static final int HANG_GUARD_MILLISECONDS = 20_000;
+
+  private final NetworkRules rules = new NetworkRules();
+  private NetworkRelay relay;
+  private ServerSocket server;
+  private HttpAddress listen;
+
+  @BeforeMethod
+  void start() throws IOException {
+    server = new ServerSocket(0, 50, InetAddress.getByName(SERVER_HOST));
+    Thread.ofPlatform().daemon().start(this::acceptAll);
+    relay = new NetworkRelay(rules, host -> host);
+    relay.start();
+    listen = new HttpAddress(SERVER_HOST, freePort());
+    relay.add(
+        RelayTarget.plain(
+            listen, new HttpAddress(SERVER_HOST, server.getLocalPort()), SERVER_HOST));
+  }
+
+  @AfterMethod(alwaysRun = true)
+  void stop() throws IOException {
+    relay.close();
+    server.close();
+  }
+
+  @Test
+  public void handsOnBothWays() throws IOException {
+    try (Socket client = connect(OTHER_HOST)) {
+      assertEquals(exchange(client, 7), 7);
+    }
+  }
+
+  @Test
+  public void cutHoldsBytesOfOneZoneUntilItEnds() throws IOException {
+    rules.setCut(CUT_HOST, SERVER_HOST, true);
+    try (Socket cut = connect(CUT_HOST);
+        Socket other = connect(OTHER_HOST)) {
+      cut.getOutputStream().write(5);
+      int elsewhere = exchange(other, 6);
+      int arrived = cut.getInputStream().available();
+      rules.setCut(CUT_HOST, SERVER_HOST, false);
+      int afterwards = cut.getInputStream().read();
+      assertEquals(List.of(elsewhere, arrived, afterwards), List.of(6, 0, 5));
+    }
+  }
+
+  @Test
+  public void oneWayLossHoldsOnlyTheAnswer() throws IOException {
+    NetworkRules.Direction back = new NetworkRules.Direction(SERVER_HOST, CUT_HOST);
+    rules.setBlocked(back, true);
+    try (Socket cut = connect(CUT_HOST);
+        Socket other = connect(OTHER_HOST)) {
+      cut.getOutputStream().write(5);
+      int elsewhere = exchange(other, 6);
+      int arrived = cut.getInputStream().available();
+      rules.setBlocked(back, false);
+      assertEquals(List.of(elsewhere, arrived, cut.getInputStream().read()), List.of(6, 0, 5));
+    }
+  }
+
+  @Test
+  public void delayPassesBeforeBytesArrive() throws IOException {
+    long delay = 30_000_000;
+    rules.setDelay(new NetworkRules.Direction(OTHER_HOST, SERVER_HOST), delay);
+    try (Socket client = connect(OTHER_HOST)) {
+      long begin = System.nanoTime();
+      int answer = exchange(client, 9);
+      boolean late = System.nanoTime() - begin >= delay;
+      assertEquals(List.of(answer, late), List.of(9, true));
+    }
+  }
+
+  @Test
+  public void limitedAnswersBreakOff() throws IOException {
+    relay.limitAnswers(listen, 1);
+    try (Socket client = connect(OTHER_HOST)) {
+      client.getOutputStream().write(new byte[] {1, 2});
+      assertEquals(client.getInputStream().readAllBytes(), new byte[] {1});
+    }
+  }
+
+  @Test
+  public void serverThatIsGoneRefusesConnections() throws IOException {
+    server.close();
+    try (Socket first = connect(OTHER_HOST)) {
+      assertEquals(first.getInputStream().read(), -1);
+    }
+    assertThrows(IOException.class, () -> connect(OTHER_HOST).close());
+  }
+
+  private int exchange(Socket client, int value) throws IOException {
+    client.getOutputStream().write(value);
+    return client.getInputStream().read();
+  }
+
+  private Socket connect(String fromHost) throws IOException {
+    Socket client = new Socket();
+    client.bind(new InetSocketAddress(fromHost, 0));
+    client.connect(new InetSocketAddress(listen.host(), listen.port()));
+    client.setSoTimeout(HANG_GUARD_MILLISECONDS);
+    return client;
+  }
+
+  private void acceptAll() {
+    while (!server.isClosed()) {
+      try {
+        Socket accepted = server.accept();
+        Thread.ofPlatform().daemon().start(() -> echo(accepted));
+      } catch (IOException closed) {
+        return;
+      }
+    }
+  }
+
+  private static void echo(Socket accepted) {
+    try (accepted) {
+      accepted.getInputStream().transferTo(accepted.getOutputStream());
+    } catch (IOException gone) {
+      // The test has ended.
+    }
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(SERVER_HOST))) {
+      return socket.getLocalPort();
+    }
+  }
+}
--- /dev/null
+++ b/weirbench/src/test/java/org/corianderweir/bench/network/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the bench's network. */
+package org.corianderweir.bench.network;
