--- a/weirbench/src/main/java/org/corianderweir/bench/scenario/Operators.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/scenario/Operators.java
@@ -120,6 +120,10 @@
       accepted = tryChange(instanceNumber, method, target, body);
       pauseIf(accepted.isEmpty());
     }
+    if (accepted.isEmpty()) {
+      incidents.add(
+          new Incident.ActionFailed(method + " " + target + " not accepted", System.nanoTime()));
+    }
     return accepted;
   }
 
