--- a/weirbench/src/main/java/org/corianderweir/bench/scenario/Operators.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/scenario/Operators.java
@@ -35,7 +35,7 @@
   /** Applies the first configuration; returns whether it was accepted. */
   boolean applyFirst() {
     String body = Json.write(fleet.layout().configuration(fleet.advertisedServers()));
-    return change(0, "PUT", "/configuration", body).isPresent();
+    return tryChange(0, "PUT", "/configuration", body).isPresent();
   }
 
   /** Issues a key; empty if no try was accepted. */
