--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -14,6 +14,8 @@
 import org.corianderweir.bench.configuration.InForceExperiment;
 import org.corianderweir.bench.demo.Demonstration;
 import org.corianderweir.bench.deployment.DeploymentFiles;
+import org.corianderweir.bench.limits.LimitsExperiment;
+import org.corianderweir.bench.limits.ScaleExperiment;
 import org.corianderweir.bench.lookup.LookupExperiment;
 import org.corianderweir.bench.platform.PlatformRates;
 import org.corianderweir.bench.platform.PlatformStandIn;
@@ -144,6 +146,27 @@
     }
   }
 
+  /** Compares ways to hold organisations to their rates. */
+  private static final class LimitsCommand implements Command {
+    @Parameter(names = "--seed", description = "seed of the arrivals")
+    private long seed = 1;
+
+    @Parameter(names = "--scale", description = "count messages at growing sizes instead")
+    private boolean scale;
+
+    @Override
+    public int run() {
+      if (scale) {
+        new ScaleExperiment(seed).run(6, 3, System.out);
+        new ScaleExperiment(seed).run(10, 9, System.out);
+        new ScaleExperiment(seed).run(18, 25, System.out);
+        new ScaleExperiment(seed).run(40, 68, System.out);
+        return 0;
+      }
+      return new LimitsExperiment(seed, System.out).run();
+    }
+  }
+
   /** Runs the command that the arguments name. */
   public static void main(String[] arguments) throws InterruptedException {
     Map<String, Command> commands =
@@ -151,6 +174,7 @@
             "platform", new PlatformCommand(),
             "backend", new BackendCommand(),
             "demo", new DemoCommand(),
+            "limits-experiment", new LimitsCommand(),
             "run", new RunCommand(),
             "in-force", new InForceCommand(),
             "look-up", new LookupCommand(),
--- a/weirbench/src/main/java/org/corianderweir/bench/configuration/InForceExperiment.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/configuration/InForceExperiment.java
@@ -79,7 +79,8 @@
           instances.stream().map(instance -> new ListedInstance(instance, false)).toList());
       for (EntryInstance instance : instances) {
         Path settings =
-            SettingsFile.write(directory(), instance, platformAddress, FleetClient.CREDENTIAL);
+            SettingsFile.write(
+                directory(), instance, instance, platformAddress, FleetClient.CREDENTIAL);
         processes.start(
             instance.name(), DaemonMain.class, List.of("--settings", settings.toString()));
       }
--- a/weirbench/src/main/java/org/corianderweir/bench/process/SettingsFile.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/process/SettingsFile.java
@@ -11,9 +11,18 @@
 public final class SettingsFile {
   private SettingsFile() {}
 
-  /** Writes the file into a directory and returns its path. */
+  /**
+   * Writes a file.
+   *
+   * @param instance the addresses that others are told
+   * @param listening the addresses that it listens on
+   */
   public static Path write(
-      Path directory, EntryInstance instance, HttpAddress platform, String credential) {
+      Path directory,
+      EntryInstance instance,
+      EntryInstance listening,
+      HttpAddress platform,
+      String credential) {
     String text =
         """
         [instance]
@@ -23,11 +32,13 @@
         host = %s
         [callers]
         port = %d
+        listen-port = %d
         [operators]
         port = %d
         credential = %s
         [peers]
         port = %d
+        listen-port = %d
         secret = bench-peers
         [platform]
         host = %s
@@ -39,9 +50,11 @@
                 instance.availabilityZone(),
                 instance.host(),
                 instance.callerPort(),
+                listening.callerPort(),
                 instance.operatorPort(),
                 credential,
                 instance.peerPort(),
+                listening.peerPort(),
                 platform.host(),
                 platform.port());
     try {
--- a/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationValidator.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/configuration/ConfigurationValidator.java
@@ -47,6 +47,7 @@
     validator.checkKeys();
     validator.checkServers();
     validator.checkSelectors();
+    validator.problems.addAll(SelectorValidator.problems(configuration));
     validator.problems.addAll(ClientBlockRules.problems(configuration));
     return List.copyOf(validator.problems);
   }
--- a/weirlib/src/main/java/org/corianderweir/logic/configuration/SteeringEditor.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/configuration/SteeringEditor.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.UnaryOperator;
-import org.corianderweir.logic.steering.SelectorValidator;
 import org.corianderweir.logic.steering.ShiftPath;
 import org.corianderweir.logic.steering.ShiftPlanner;
 import org.corianderweir.model.ErrorCode;
@@ -108,12 +107,7 @@
 
   private static Configuration.Builder withSelectors(
       Configuration current, List<Selector> selectors) {
-    Configuration.Builder builder = current.toBuilder().selectors(selectors);
-    List<String> problems = SelectorValidator.problems(builder.build());
-    if (!problems.isEmpty()) {
-      throw invalid(String.join("\n", problems));
-    }
-    return builder;
+    return current.toBuilder().selectors(selectors);
   }
 
   private static Selector required(Configuration current, String name) {
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/FleetShape.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/FleetShape.java
@@ -4,17 +4,17 @@
 import net.openhft.hashing.LongHashFunction;
 
 /**
- * How many slots there are and which of them get a slice of a limit. In a fleet of few slots all of
- * them do. In a large fleet each limit has one home slot in each availability zone, chosen by its
- * name, so that a slice stays large enough to be of use and the number of lenders is bounded by the
- * number of zones.
+ * How many slots there are and which of them get a slice of a limit: the home slots. Every
+ * availability zone has as many home slots of a limit as leave a useful burst to each, at least
+ * one, chosen by the limit's name. So a small limit is not split into slices that hold no whole
+ * token, and in a large fleet the lenders of a limit are bounded by the number of zones.
  *
  * @param zones names of the availability zones, in the same order everywhere
- * @param slotsPerZone slots of each zone, all cells together
+ * @param slotsPerZone slots of each zone
  */
 public record FleetShape(List<String> zones, int slotsPerZone) {
-  /** Largest number of slots of which every one gets a slice of every limit. */
-  public static final int ALL_SLOTS_LIMIT = 64;
+  private static final int HOMES_PER_ZONE_LIMIT = 3;
+  private static final double SMALLEST_BURST_TOKENS = 4;
 
   /** Copies and sorts the zones. */
   public FleetShape {
@@ -27,32 +27,39 @@
     if (zoneIndex < 0 || slot >= slotsPerZone) {
       return Allowance.NONE;
     }
-    if (zones.size() * slotsPerZone <= ALL_SLOTS_LIMIT) {
-      int index = slot * zones.size() + zoneIndex;
-      return SliceDivision.slice(limit, index, zones.size() * slotsPerZone);
+    int homes = homesPerZone(limit);
+    int rank = homeRank(limitName, zone, slot);
+    if (rank >= homes) {
+      return Allowance.NONE;
     }
-    boolean home = homeSlot(limitName, zone) == slot;
-    return home ? SliceDivision.slice(limit, zoneIndex, zones.size()) : Allowance.NONE;
+    int index = rank * zones.size() + zoneIndex;
+    return SliceDivision.slice(limit, index, zones.size() * homes);
+  }
+
+  /** Returns how many slots of each zone get a slice of a limit. */
+  public int homesPerZone(Allowance limit) {
+    double useful = limit.capacity() / zones.size() / SMALLEST_BURST_TOKENS;
+    int most = Math.min(HOMES_PER_ZONE_LIMIT, slotsPerZone);
+    return Math.clamp((long) useful, 1, most);
   }
 
-  /** Returns the slot of a zone that is home to a limit, by rendezvous hashing. */
-  public int homeSlot(String limitName, String zone) {
-    int best = 0;
-    long bestHash = Long.MIN_VALUE;
-    for (int slot = 0; slot < slotsPerZone; slot++) {
-      long hash = LongHashFunction.xx3().hashChars(limitName + '/' + zone + '/' + slot);
-      if (hash > bestHash) {
-        bestHash = hash;
-        best = slot;
-      }
+  /** Returns the place of a slot in the zone's order for a limit, by rendezvous hashing. */
+  public int homeRank(String limitName, String zone, int slot) {
+    long own = hash(limitName, zone, slot);
+    int rank = 0;
+    for (int other = 0; other < slotsPerZone; other++) {
+      rank += hash(limitName, zone, other) > own ? 1 : 0;
     }
-    return best;
+    return rank;
   }
 
-  /** Returns the slice that a slot typically has. */
+  /** Returns the slice that a home slot has, about. */
   public Allowance typicalSlice(Allowance limit) {
-    int slots = zones.size() * slotsPerZone;
-    int sharing = slots <= ALL_SLOTS_LIMIT ? slots : zones.size();
+    int sharing = Math.max(1, zones.size() * homesPerZone(limit));
     return new Allowance(limit.rate() / sharing, limit.capacity() / sharing);
   }
+
+  private static long hash(String limitName, String zone, int slot) {
+    return LongHashFunction.xx3().hashChars(limitName + '/' + zone + '/' + slot);
+  }
 }
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/LendableSlice.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/LendableSlice.java
@@ -16,13 +16,12 @@
   record Parcel(Allowance allowance, double tokens) {}
 
   /**
-   * What a slice has and needs.
+   * How a slice stands against the demand of this instance.
    *
-   * @param held allowance that can be spent now
-   * @param needed allowance that the demand of this instance calls for
-   * @param available tokens or permits free at this moment
+   * @param missing what the demand calls for beyond what is held: rate, and tokens or permits
+   * @param spare what could be done without: rate, and capacity
    */
-  record Position(Allowance held, Allowance needed, double available) {}
+  record Position(Allowance missing, Allowance spare) {}
 
   /** Sets this instance's own part; what is new in it starts empty. */
   void setOwn(Allowance own, long nowNanoseconds);
@@ -31,11 +30,12 @@
   void renewOwn(long validUntilNanoseconds, long nowNanoseconds);
 
   /**
-   * Deducts a loan of at most the wanted size from the own part that is neither needed nor lent.
-   * Empty if there is nothing to lend or the loan was granted before.
+   * Deducts a loan from the own part that is neither needed nor lent, for at most the missing rate
+   * and tokens or permits of the borrower. Empty if there is nothing to lend or the loan was
+   * granted before.
    *
    * @param loan the request
-   * @param wanted largest size
+   * @param wanted what the borrower is missing
    * @param lifetimeNanoseconds lifetime on the borrower's clock
    */
   Optional<Parcel> lend(
@@ -62,6 +62,6 @@
   /** Returns what could be lent now. */
   Allowance surplus(long nowNanoseconds);
 
-  /** Returns what the slice has and needs; measures demand since the last call. */
+  /** Returns how the slice stands; measures demand since the last call. */
   Position position(long nowNanoseconds);
 }
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/LoanBroker.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/LoanBroker.java
@@ -58,12 +58,6 @@
     }
   }
 
-  /** Returns whether no lender had anything to lend when it was asked last. */
-  public boolean exhausted(String limit) {
-    BorrowedLimit entry = limits.get(limit);
-    return entry != null && entry.ranking().allDenied();
-  }
-
   /**
    * Looks after all limits: to be called some ten times a second and after a request had to wait.
    */
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/SliceBucket.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/SliceBucket.java
@@ -10,10 +10,11 @@
  */
 public final class SliceBucket implements LendableSlice {
   private static final double NANOSECONDS_PER_SECOND = 1e9;
-  private static final double RESERVE_FACTOR = 1.25;
-  private static final double CAPACITY_SECONDS = 0.1;
-  private static final double IDLE_RATE = 0.01;
-  private static final double BACKLOG_SECONDS = 0.25;
+  private static final double RESERVE_FACTOR = 1.05;
+  private static final double TOLERANCE = 0.1;
+  private static final double OWN_REFILL_SECONDS = 0.05;
+  private static final double BACKLOG_SECONDS = 1;
+  private static final double LARGEST_DRAIN = 0.5;
   private static final double ROUNDING = 1e-9;
 
   private final LoanBook lent = new LoanBook();
@@ -83,11 +84,15 @@
     if (!ownActive || lent.contains(loan)) {
       return Optional.empty();
     }
-    Allowance granted = wanted.limitedTo(spare(nowNanoseconds));
+    Allowance free = own.minus(lent.sum());
+    double lentRate = Math.min(wanted.rate(), spareRate(nowNanoseconds));
+    double share = free.rate() > 0 ? Math.min(1, lentRate / free.rate()) : 0;
+    double moved = Math.min(free.capacity(), tokensToLend(wanted.capacity(), share));
+    double lentCapacity = Math.min(free.capacity(), Math.max(share * free.capacity(), moved));
+    Allowance granted = new Allowance(lentRate, lentCapacity);
     if (granted.isEmpty()) {
       return Optional.empty();
     }
-    double moved = Math.min(tokens, granted.capacity());
     tokens -= moved;
     lent.add(loan, granted, nowNanoseconds + LimitTiming.withDrift(lifetimeNanoseconds));
     recompute();
@@ -144,7 +149,7 @@
   public synchronized boolean extendLent(
       LoanIdentifier loan, long lifetimeNanoseconds, long nowNanoseconds) {
     advance(nowNanoseconds);
-    boolean inNeed = needed(nowNanoseconds).rate() > rate;
+    boolean inNeed = backlog > 0 && neededRate(nowNanoseconds) > rate;
     if (!ownActive || inNeed || lent.sum().exceeds(own)) {
       return false;
     }
@@ -169,32 +174,47 @@
   @Override
   public synchronized Allowance surplus(long nowNanoseconds) {
     advance(nowNanoseconds);
-    return ownActive ? spare(nowNanoseconds) : Allowance.NONE;
+    return ownActive
+        ? new Allowance(spareRate(nowNanoseconds), tokensToLend(tokens, 0))
+        : Allowance.NONE;
   }
 
   @Override
   public synchronized Position position(long nowNanoseconds) {
     advance(nowNanoseconds);
-    return new Position(current(), needed(nowNanoseconds), tokens);
-  }
-
-  private Allowance spare(long nowNanoseconds) {
-    return current().minus(needed(nowNanoseconds)).limitedTo(own.minus(lent.sum()));
+    double needed = neededRate(nowNanoseconds);
+    boolean isShort = backlog > 0 || needed > rate * (1 + TOLERANCE);
+    double missingRate = isShort ? Math.max(0, needed - rate) : 0;
+    double soon = tokens + rate * OWN_REFILL_SECONDS;
+    double missingTokens = backlog > 0 && backlog > soon ? backlog - tokens : 0;
+    double spareRate = Math.max(0, rate - needed * (1 + TOLERANCE));
+    double used = backlog > 0 ? Math.max(1, tokens) : 0;
+    double spareCapacity = Math.max(0, capacity - used);
+    return new Position(
+        new Allowance(missingRate, missingTokens), new Allowance(spareRate, spareCapacity));
   }
 
   private Allowance current() {
     return new Allowance(rate, capacity);
   }
 
-  private Allowance needed(long nowNanoseconds) {
+  private double spareRate(long nowNanoseconds) {
+    double free = own.minus(lent.sum()).rate();
+    return Math.min(free, Math.max(0, rate - neededRate(nowNanoseconds)));
+  }
+
+  /** Tokens go with the rate that is lent; of the rest, all if nobody waits here. */
+  private double tokensToLend(double wanted, double share) {
+    double withRate = tokens * share;
+    double rest = backlog > 0 ? 0 : tokens - withRate;
+    return Math.max(0, withRate + Math.min(rest, Math.max(0, wanted - withRate)));
+  }
+
+  /** Returns the rate that the demand calls for, with some to work off what waits. */
+  private double neededRate(long nowNanoseconds) {
     double arriving = demand.perSecond(nowNanoseconds);
-    if (arriving < IDLE_RATE && backlog <= 0) {
-      return Allowance.NONE;
-    }
-    double reserve = arriving * RESERVE_FACTOR;
-    return new Allowance(
-        reserve + backlog / BACKLOG_SECONDS,
-        1 + reserve * CAPACITY_SECONDS + Math.sqrt(reserve) + backlog);
+    double drain = Math.min(backlog / BACKLOG_SECONDS, arriving * LARGEST_DRAIN);
+    return arriving * RESERVE_FACTOR + drain;
   }
 
   /** Refills up to the present, ending loans and the own part at their own moments. */
