--- a/weirdaemon/src/test/java/org/corianderweir/daemon/operator/OperatorServiceTest.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/operator/OperatorServiceTest.java
@@ -93,7 +93,15 @@
     operators =
         new OperatorService(
             new OperatorContext(
-                settings, configuration, membership, steering, events, metrics, time, List::of, () -> {}));
+                settings,
+                configuration,
+                membership,
+                steering,
+                events,
+                metrics,
+                time,
+                List::of,
+                () -> {}));
     assertEquals(call("PUT", "/configuration", Json.write(FIRST)).status(), 200);
   }
 
