Hold requests to the room of regions, selectors and links; steer by the health seen

Cause: the guard of capacities and the condition of servers existed but nothing called them: no region, selector or link limit was enforced, and holds and failover did not act in a live daemon. Each attempt now takes room before it is sent and gives it back after it; a request without room waits and is refused as not run. The control thread reads the outcomes that traffic has seen. Permits are given back when the caller's deadline ends a request that may still run at the server; that is not covered.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Delivery.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Delivery.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ThreadLocalRandom;
 import org.corianderweir.daemon.control.EventLog;
+import org.corianderweir.daemon.steering.CapacityPermit;
 import org.corianderweir.http.HttpAddress;
 import org.corianderweir.http.HttpClient;
 import org.corianderweir.http.HttpReply;
@@ -20,6 +21,9 @@
 import org.corianderweir.logic.delivery.RetryPolicy;
 import org.corianderweir.logic.delivery.ServerHealth;
 import org.corianderweir.logic.delivery.ServerSelection;
+import org.corianderweir.logic.steering.Cell;
+import org.corianderweir.logic.steering.CellConditions;
+import org.corianderweir.logic.steering.SteeringDecision;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
 import org.corianderweir.model.configuration.BackendServer;
@@ -43,6 +47,7 @@
   private static final double RETRIES_SAVED_UP = 10;
 
   private final HttpClient client;
+  private final Rooms rooms;
   private final Refusals refusals;
   private final BackendMessages messages;
   private final EventLog events;
@@ -57,11 +62,13 @@
   Delivery(
       String instanceName,
       HttpClient client,
+      Rooms rooms,
       Refusals refusals,
       EventLog events,
       MetricRegistry metrics,
       TimeSource time) {
     this.client = client;
+    this.rooms = rooms;
     this.refusals = refusals;
     this.messages = new BackendMessages(instanceName);
     this.events = events;
@@ -75,6 +82,16 @@
     return inFlight.inFlight(server);
   }
 
+  /** Returns the condition of a backend server as the outcomes of this entry instance show it. */
+  CellConditions.ServerCondition condition(BackendServer server) {
+    long now = time.monotonicNanoseconds();
+    ServerHealth seen = health.of(server, now);
+    boolean usable = !seen.ejected(now);
+    double utilisation =
+        seen.full(now) ? 1 : Math.min(1, (double) inFlight.inFlight(server) / server.slots());
+    return new CellConditions.ServerCondition(usable, usable, true, utilisation);
+  }
+
   HealthTable health() {
     return health;
   }
@@ -126,7 +143,7 @@
 
     /** Returns the queue to wait in: requests of one queue can use the same servers. */
     private String line() {
-      List<BackendServer> servers = context.snapshot().candidates(selector, draw);
+      List<BackendServer> servers = servers();
       return servers.isEmpty() ? selector + WaitingRoom.NO_SERVER : line(servers.getFirst());
     }
 
@@ -139,9 +156,16 @@
       if (result.isDone() || remaining() <= (waited ? LAST_ATTEMPT.toNanos() : 0)) {
         return Optional.empty();
       }
+      return switch (context.snapshot().steer(selector, draw)) {
+        case SteeringDecision.Candidates found -> tryCell(found.cell());
+        case SteeringDecision.NotNow notNow -> Optional.empty();
+      };
+    }
+
+    private Optional<Runnable> tryCell(Cell cell) {
       long now = time.monotonicNanoseconds();
       List<ServerSelection.Candidate<BackendServer>> candidates = new ArrayList<>();
-      for (BackendServer server : context.snapshot().candidates(selector, draw)) {
+      for (BackendServer server : cell.servers()) {
         if (!failed.contains(server.name())) {
           candidates.add(
               new ServerSelection.Candidate<>(
@@ -149,8 +173,7 @@
         }
       }
       return ServerSelection.choose(candidates, ThreadLocalRandom.current(), now)
-          .map(ServerSelection.Candidate::server)
-          .map(this::reserve);
+          .flatMap(chosen -> reserve(cell, chosen.server(), now));
     }
 
     @Override
@@ -158,19 +181,30 @@
       refuse(lastReason, "no backend server is free in time");
     }
 
-    private Runnable reserve(BackendServer server) {
-      inFlight.begin(server);
-      return () -> send(server);
+    private Optional<Runnable> reserve(Cell cell, BackendServer server, long now) {
+      Optional<CapacityPermit> permit =
+          rooms.tryAcquire(
+              cell, selector, context.call().body().length, context.deadlineNanoseconds(), now);
+      permit.ifPresent(taken -> inFlight.begin(server));
+      return permit.map(taken -> () -> send(server, taken));
+    }
+
+    /** Returns the servers that the request may go to at present. */
+    private List<BackendServer> servers() {
+      return switch (context.snapshot().steer(selector, draw)) {
+        case SteeringDecision.Candidates found -> found.cell().servers();
+        case SteeringDecision.NotNow notNow -> List.of();
+      };
     }
 
     /** Returns whether each server that the request may go to has failed it already. */
     private boolean nothingLeft() {
-      List<BackendServer> servers = context.snapshot().candidates(selector, draw);
+      List<BackendServer> servers = servers();
       return !servers.isEmpty()
           && servers.stream().allMatch(server -> failed.contains(server.name()));
     }
 
-    private void send(BackendServer server) {
+    private void send(BackendServer server, CapacityPermit permit) {
       events.record(EventCode.REQUEST_SENT, context.name(), server.name());
       long sent = time.monotonicNanoseconds();
       long remaining = Math.max(1, remaining());
@@ -183,6 +217,7 @@
       exchange.whenComplete(
           (answer, failure) -> {
             inFlight.end(server);
+            permit.release(answer == null ? 0 : answer.body().length);
             if (!result.isDone()) {
               ended(server, answer, failure, time.monotonicNanoseconds() - sent);
             }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
@@ -13,6 +13,7 @@
 import org.corianderweir.daemon.control.LimitService;
 import org.corianderweir.daemon.control.MembershipService;
 import org.corianderweir.daemon.settings.DaemonSettings;
+import org.corianderweir.daemon.steering.CapacityGuard;
 import org.corianderweir.daemon.steering.SteeringService;
 import org.corianderweir.http.HttpCall;
 import org.corianderweir.http.HttpClient;
@@ -105,7 +106,15 @@
                 .withConnectionsPerAddress(CONNECTION_LIMIT / ENTRY_INSTANCES)
                 .openingAhead());
     refusals = new Refusals(self.name(), events, metrics);
-    delivery = new Delivery(self.name(), client, refusals, events, metrics, time);
+    delivery =
+        new Delivery(
+            self.name(),
+            client,
+            new CapacityGuard(self.region(), limits)::tryAcquire,
+            refusals,
+            events,
+            metrics,
+            time);
     gate =
         new RunOnceGate(
             self.name(),
@@ -140,6 +149,7 @@
 
   @Override
   public void start(ServiceDirectory directory) {
+    steering.watch(delivery::condition);
     configuration.onChange(this::adopt);
     client.start();
     listener.start();
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficSnapshot.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficSnapshot.java
@@ -1,12 +1,10 @@
 package org.corianderweir.daemon.traffic;
 
-import java.util.List;
 import java.util.function.Supplier;
 import org.corianderweir.logic.keys.KeyDirectory;
 import org.corianderweir.logic.steering.RouteFinder;
 import org.corianderweir.logic.steering.SteeringDecision;
 import org.corianderweir.logic.steering.SteeringTable;
-import org.corianderweir.model.configuration.BackendServer;
 import org.corianderweir.model.configuration.Configuration;
 
 /**
@@ -32,16 +30,12 @@
   }
 
   /**
-   * Returns the backend servers that a request may go to at present; none while the share of the
-   * traffic that it belongs to moves away from servers that are gone.
+   * Decides where a request may go at present.
    *
    * @param selector name of the selector that covers the request
    * @param draw uniform random number from 0 up to 1, drawn once for each request
    */
-  List<BackendServer> candidates(String selector, double draw) {
-    return switch (steering.get().steer(selector, draw)) {
-      case SteeringDecision.Candidates found -> found.cell().servers();
-      case SteeringDecision.NotNow notNow -> List.of();
-    };
+  SteeringDecision steer(String selector, double draw) {
+    return steering.get().steer(selector, draw);
   }
 }
--- a/weirdaemon/src/test/java/org/corianderweir/daemon/traffic/TestEntry.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/traffic/TestEntry.java
@@ -4,10 +4,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.corianderweir.daemon.SystemTimeSource;
 import org.corianderweir.daemon.control.EventLog;
+import org.corianderweir.daemon.steering.CapacityPermit;
 import org.corianderweir.http.HttpAddress;
 import org.corianderweir.http.HttpCall;
 import org.corianderweir.http.HttpClient;
@@ -19,6 +22,7 @@
 import org.corianderweir.logic.keys.KeyFreshnessView;
 import org.corianderweir.logic.limits.AdmissionDecision;
 import org.corianderweir.logic.membership.Member;
+import org.corianderweir.logic.steering.Cell;
 import org.corianderweir.logic.steering.CellConditions;
 import org.corianderweir.logic.steering.SteeringTable;
 import org.corianderweir.logic.steering.SteeringTracker;
@@ -39,8 +43,11 @@
     CALLER.start();
   }
 
+  static final int PLENTY = 1_000;
+
   final List<Member> members;
   volatile boolean admits = true;
+  final AtomicInteger room = new AtomicInteger(PLENTY);
   private final String name;
   private final HttpClient client = new HttpClient(options());
   private final HttpListener listener;
@@ -58,7 +65,7 @@
     IssuerForwarder forwarder =
         new IssuerForwarder(name, client, () -> this.members, refusals, time);
     gate = new RunOnceGate(name, forwarder, refusals, time);
-    Delivery delivery = new Delivery(name, client, refusals, events, metrics, time);
+    Delivery delivery = new Delivery(name, client, this::room, refusals, events, metrics, time);
     pipeline =
         new RequestPipeline(
             name, this::admit, TestEntry::fresh, gate, delivery, refusals, metrics, time);
@@ -83,6 +90,14 @@
     members.add(new Member(self, 1, InstanceState.SERVING, 1));
   }
 
+  private Optional<CapacityPermit> room(
+      Cell cell, String selector, long requestBytes, long deadline, long now) {
+    if (room.getAndUpdate(left -> Math.max(0, left - 1)) == 0) {
+      return Optional.empty();
+    }
+    return Optional.of(answerBytes -> room.incrementAndGet());
+  }
+
   private static KeyFreshnessView fresh() {
     return new KeyFreshnessView(true, System.nanoTime(), Map.of());
   }
