--- a/weirdaemon/src/main/java/org/corianderweir/daemon/steering/CapacityGuard.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/steering/CapacityGuard.java
@@ -51,6 +51,7 @@
     List<Runnable> taken = new ArrayList<>();
     boolean room =
         tryPermit(limits.selectorPermits(selector), deadlineNanoseconds, nowNanoseconds, taken)
+            && tryPermit(slotPermits(cell), deadlineNanoseconds, nowNanoseconds, taken)
             && tryPermit(
                 limits.regionPermits(cell.region()), deadlineNanoseconds, nowNanoseconds, taken)
             && tryTake(region, cell.region(), requestBytes * BITS_PER_BYTE, nowNanoseconds);
@@ -71,6 +72,12 @@
         });
   }
 
+  private Optional<ConcurrencyPermits> slotPermits(Cell cell) {
+    return cell.servers().stream()
+        .findFirst()
+        .flatMap(server -> limits.slotPermits(server.service(), cell.region()));
+  }
+
   private static boolean tryPermit(
       Optional<ConcurrencyPermits> permits,
       long deadlineNanoseconds,
