Revert the permits for the slots of a service in a region

Operators can set a region's concurrency, which is held for the whole fleet; without it a region can get more requests at a time than it has slots, and full servers refuse them as not run.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/control/LimitService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/control/LimitService.java
@@ -6,13 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.stream.Collectors;
 import org.corianderweir.daemon.peer.PeerTransport;
 import org.corianderweir.daemon.peer.Received;
 import org.corianderweir.kernel.ControlLoop;
@@ -118,9 +116,9 @@
     return answer;
   }
 
-  /** Returns the permits of all slots that a service has in a region; any thread may call this. */
-  public Optional<ConcurrencyPermits> slotPermits(String service, String region) {
-    return permits(slotsName(service, region));
+  /** Returns the permits of a backend server; any thread may call this. */
+  public Optional<ConcurrencyPermits> backendServerPermits(String backendServer) {
+    return permits("backend-server/" + backendServer);
   }
 
   /** Returns the permits of a region; empty if only its slots count. */
@@ -196,8 +194,11 @@
 
   private static void defineCapacities(
       FleetLimits current, Configuration changed, List<String> names, long now) {
-    slotsByPlace(changed)
-        .forEach((name, slots) -> defineConcurrency(current, name, slots, names, now));
+    changed.backendServers().stream()
+        .forEach(
+            server ->
+                defineConcurrency(
+                    current, "backend-server/" + server.name(), server.slots(), names, now));
     changed.regions().stream()
         .filter(region -> region.concurrency() > 0)
         .forEach(
@@ -218,28 +219,6 @@
     }
   }
 
-  /** Adds up the slots of each service in each region; drained servers have none to give. */
-  private static Map<String, Integer> slotsByPlace(Configuration changed) {
-    Map<String, String> regions =
-        changed.zones().stream()
-            .collect(Collectors.toMap(AvailabilityZone::name, AvailabilityZone::region));
-    Map<String, Integer> slots = new TreeMap<>();
-    changed.backendServers().stream()
-        .filter(server -> !server.drained())
-        .forEach(
-            server ->
-                slots.merge(
-                    slotsName(
-                        server.service(), regions.getOrDefault(server.availabilityZone(), "")),
-                    server.slots(),
-                    Integer::sum));
-    return slots;
-  }
-
-  private static String slotsName(String service, String region) {
-    return "slots/" + service + '/' + region;
-  }
-
   private static void defineConcurrency(
       FleetLimits current, String name, int permits, List<String> names, long now) {
     names.add(name);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/steering/CapacityGuard.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/steering/CapacityGuard.java
@@ -51,7 +51,6 @@
     List<Runnable> taken = new ArrayList<>();
     boolean room =
         tryPermit(limits.selectorPermits(selector), deadlineNanoseconds, nowNanoseconds, taken)
-            && tryPermit(slotPermits(cell), deadlineNanoseconds, nowNanoseconds, taken)
             && tryPermit(
                 limits.regionPermits(cell.region()), deadlineNanoseconds, nowNanoseconds, taken)
             && tryTake(region, cell.region(), requestBytes * BITS_PER_BYTE, nowNanoseconds);
@@ -72,12 +71,6 @@
         });
   }
 
-  private Optional<ConcurrencyPermits> slotPermits(Cell cell) {
-    return cell.servers().stream()
-        .findFirst()
-        .flatMap(server -> limits.slotPermits(server.service(), cell.region()));
-  }
-
   private static boolean tryPermit(
       Optional<ConcurrencyPermits> permits,
       long deadlineNanoseconds,
