--- a/weirbench/src/main/java/org/corianderweir/bench/configuration/InForceExperiment.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/configuration/InForceExperiment.java
@@ -15,6 +15,7 @@
 import org.corianderweir.bench.platform.PlatformStandIn;
 import org.corianderweir.bench.process.ChildProcesses;
 import org.corianderweir.bench.process.FleetClient;
+import org.corianderweir.bench.process.ProcessCost;
 import org.corianderweir.bench.process.SettingsFile;
 import org.corianderweir.daemon.DaemonMain;
 import org.corianderweir.daemon.SystemTimeSource;
@@ -38,6 +39,9 @@
   private static final long POLL_MILLISECONDS = 5;
   private static final String PLATFORM_HOST = "127.21.0.1";
 
+  private static final double MILLISECONDS_PER_PERCENT = 10;
+  private static final double BYTES_PER_MEGABYTE = 1e6;
+
   private final int changes;
   private final Random random;
   private final PrintStream output;
@@ -84,19 +88,22 @@
         processes.start(
             instance.name(), DaemonMain.class, List.of("--settings", settings.toString()));
       }
-      return measure(platform);
+      return measure(platform, processes);
     } finally {
       platform.stop();
     }
   }
 
-  private int measure(PlatformStandIn platform) throws InterruptedException {
+  private int measure(PlatformStandIn platform, ChildProcesses processes)
+      throws InterruptedException {
     if (change(0, START_LIMIT) < 0) {
       output.println("the fleet did not start");
       return 1;
     }
     PlatformCalls before = platform.platform().calls();
+    ProcessCost costBefore = cost(processes);
     Thread.sleep(Duration.ofSeconds(IDLE_SECONDS));
+    ProcessCost costAfter = cost(processes);
     PlatformCalls after = platform.platform().calls();
     Histogram milliseconds = new Histogram(3);
     int failed = 0;
@@ -119,9 +126,23 @@
         milliseconds.getValueAtPercentile(99),
         milliseconds.getMaxValue(),
         failed);
+    printCost(costBefore, costAfter);
     return failed == 0 ? 0 : 1;
   }
 
+  private ProcessCost cost(ChildProcesses processes) {
+    return ProcessCost.of(
+        instances.stream().map(instance -> processes.get(instance.name())).toList());
+  }
+
+  private void printCost(ProcessCost before, ProcessCost after) {
+    Duration used = after.processorTime().minus(before.processorTime());
+    output.printf(
+        "each daemon without traffic: %.2f%% of a core, %.1f MB resident%n",
+        (double) used.toMillis() / IDLE_SECONDS / MILLISECONDS_PER_PERCENT / instances.size(),
+        after.residentBytes() / BYTES_PER_MEGABYTE / instances.size());
+  }
+
   /** Makes a change and returns the time until it is in force everywhere, or -1. */
   private long change(int number, Duration limit) throws InterruptedException {
     EntryInstance through = instances.get(random.nextInt(instances.size()));
--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/process/ProcessCost.java
@@ -0,0 +1,43 @@
+package org.corianderweir.bench.process;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Stream;
+
+/**
+ * What processes have used up to now, added up.
+ *
+ * @param processorTime time on processors
+ * @param residentBytes memory that is resident
+ */
+public record ProcessCost(Duration processorTime, long residentBytes) {
+  private static final String RESIDENT = "VmRSS:";
+  private static final long BYTES_PER_KILOBYTE = 1024;
+
+  /** Reads the cost of processes that run. */
+  public static ProcessCost of(List<Process> processes) {
+    Duration processorTime = Duration.ZERO;
+    long residentBytes = 0;
+    for (Process process : processes) {
+      processorTime = processorTime.plus(process.info().totalCpuDuration().orElse(Duration.ZERO));
+      residentBytes += residentBytes(process.pid());
+    }
+    return new ProcessCost(processorTime, residentBytes);
+  }
+
+  private static long residentBytes(long processIdentifier) {
+    try (Stream<String> lines =
+        Files.lines(Path.of("/proc", Long.toString(processIdentifier), "status"))) {
+      return lines
+          .filter(line -> line.startsWith(RESIDENT))
+          .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")) * BYTES_PER_KILOBYTE)
+          .sum();
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+}
