--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -174,6 +174,9 @@
     @Parameter(names = "--seed", description = "seed of the random numbers")
     private long seed = 1;
 
+    @Parameter(names = "--rate", description = "requests a second")
+    private double requestsPerSecond = 500;
+
     @Parameter(names = "--deployment", description = "name of a file in deployments/")
     private String deployment = "adebayo";
 
@@ -182,7 +185,8 @@
 
     @Override
     public int run() {
-      return new OverheadMeasurement(DeploymentFiles.read(deployment), firstPort, System.out)
+      return new OverheadMeasurement(
+              DeploymentFiles.read(deployment), requestsPerSecond, firstPort, System.out)
           .run(seed);
     }
   }
--- a/weirbench/src/main/java/org/corianderweir/bench/deployment/Deployment.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/deployment/Deployment.java
@@ -125,6 +125,31 @@
         near);
   }
 
+  /** Returns a deployment whose backend servers all have the given slots and service time. */
+  public Deployment withServers(int slots, long serviceMilliseconds) {
+    List<ServicePlan> changed =
+        services.stream()
+            .map(
+                plan ->
+                    new ServicePlan(
+                        plan.name(),
+                        plan.servers(),
+                        slots,
+                        plan.connectionLimit(),
+                        serviceMilliseconds))
+            .toList();
+    return new Deployment(
+        name,
+        storeZone,
+        latency,
+        linkMegabitsPerSecond,
+        openRequestsPerSecond,
+        zones,
+        changed,
+        routes,
+        organisations);
+  }
+
   /** Returns a smaller deployment with the same shape. */
   public Deployment limitedTo(int entryInstancesPerZone, int serversPerService) {
     return new Deployment(
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/DaemonMain.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/DaemonMain.java
@@ -11,6 +11,7 @@
 
 /** The program {@code corianderweird}. */
 public final class DaemonMain {
+  private static final int EXIT_FAILED = 1;
   private static final int EXIT_USAGE = 2;
 
   @Parameter(names = "--settings", description = "settings file (INI)")
@@ -27,36 +28,59 @@
 
   private DaemonMain() {}
 
-  /** Runs the daemon until it is told to stop. Exit status 2 means wrong usage or settings. */
+  /**
+   * Runs the daemon until it is told to stop. Exit status 1 means that it could not run, 2 wrong
+   * usage or settings.
+   */
   public static void main(String[] arguments) {
-    System.exit(new DaemonMain().run(arguments));
+    System.exit(run(arguments));
   }
 
-  private int run(String[] arguments) {
-    JCommander commander = JCommander.newBuilder().programName("corianderweird").build();
-    commander.addObject(this);
+  /** Runs the program and returns its exit status. */
+  static int run(String[] arguments) {
+    DaemonMain options = new DaemonMain();
+    JCommander commander =
+        JCommander.newBuilder().programName("corianderweird").addObject(options).build();
     try {
       commander.parse(arguments);
-      if (help) {
-        commander.usage();
-        return 0;
-      }
-      if (describeSettings) {
-        SettingsDescription.rows().forEach(System.out::println);
-        return 0;
-      }
-      DaemonSettings settings = SettingsReader.read(new File(settingsFile));
-      if (checkOnly) {
-        System.out.println("settings are valid: " + settingsFile);
-        return 0;
-      }
-      LogSetup.configure();
-      Daemon daemon = new Daemon(settings, new SystemTimeSource());
-      daemon.run();
-      return 0;
-    } catch (ParameterException | WeirException failure) {
+    } catch (ParameterException failure) {
       System.err.println(failure.getMessage());
       return EXIT_USAGE;
     }
+    if (options.help) {
+      commander.usage();
+      return 0;
+    }
+    if (options.describeSettings) {
+      SettingsDescription.rows().forEach(System.out::println);
+      return 0;
+    }
+    if (options.settingsFile.isEmpty()) {
+      System.err.println("--settings FILE is missing; --help lists the options");
+      return EXIT_USAGE;
+    }
+    return options.runWithSettings();
+  }
+
+  private int runWithSettings() {
+    DaemonSettings settings;
+    try {
+      settings = SettingsReader.read(new File(settingsFile));
+    } catch (WeirException invalid) {
+      System.err.println(invalid.getMessage());
+      return EXIT_USAGE;
+    }
+    if (checkOnly) {
+      System.out.println("settings are valid: " + settingsFile);
+      return 0;
+    }
+    try {
+      LogSetup.configure();
+      new Daemon(settings, new SystemTimeSource()).run();
+      return 0;
+    } catch (WeirException failure) {
+      System.err.println(failure.code() + ": " + failure.getMessage());
+      return EXIT_FAILED;
+    }
   }
 }
