Leave an admitted request time to be served

Ruled out: the waiting room, which keeps 40 ms back. A request must now be admitted within three quarters of its time.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestPipeline.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestPipeline.java
@@ -15,6 +15,7 @@
 import org.corianderweir.logic.delivery.RetryPolicy;
 import org.corianderweir.logic.keys.KeyDecision;
 import org.corianderweir.logic.keys.KeyFreshnessView;
+import org.corianderweir.logic.limits.AdmissionDeadline;
 import org.corianderweir.logic.limits.AdmissionDecision;
 import org.corianderweir.logic.steering.RouteDecision;
 import org.corianderweir.model.configuration.Selector;
@@ -134,11 +135,12 @@
     if (context.organisation().isEmpty()) {
       return delivery.deliver(context);
     }
+    long now = time.monotonicNanoseconds();
     CompletableFuture<AdmissionDecision> decision =
         admission.admit(
             context.organisation().get(),
-            context.deadlineNanoseconds(),
-            time.monotonicNanoseconds());
+            AdmissionDeadline.of(context.deadlineNanoseconds(), now),
+            now);
     return decision.isDone() && !decision.isCompletedExceptionally()
         ? admitted(context, decision.join())
         : awaitAdmission(context, decision);
