--- a/weirbench/src/main/java/org/corianderweir/bench/configuration/InForceExperiment.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/configuration/InForceExperiment.java
@@ -33,7 +33,8 @@
  */
 public final class InForceExperiment {
   private static final int ZONES = 6;
-  private static final int IDLE_SECONDS = 5;
+  private static final int SETTLE_SECONDS = 15;
+  private static final int IDLE_SECONDS = 10;
   private static final Duration START_LIMIT = Duration.ofSeconds(40);
   private static final Duration CHANGE_LIMIT = Duration.ofSeconds(20);
   private static final long POLL_MILLISECONDS = 5;
@@ -100,6 +101,7 @@
       output.println("the fleet did not start");
       return 1;
     }
+    Thread.sleep(Duration.ofSeconds(SETTLE_SECONDS));
     PlatformCalls before = platform.platform().calls();
     ProcessCost costBefore = cost(processes);
     Thread.sleep(Duration.ofSeconds(IDLE_SECONDS));
