Keep the list of lenders until membership changes

Cause: an idle daemon among 18 used 3.2% of a core. The tick of the limits, 50 times a second, built the list of lenders anew from all members, and membership published a new list for each message received.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/control/LimitService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/control/LimitService.java
@@ -26,6 +26,7 @@
 import org.corianderweir.logic.limits.FleetShape;
 import org.corianderweir.logic.limits.Lender;
 import org.corianderweir.logic.limits.slots.SlotHolder;
+import org.corianderweir.logic.membership.Member;
 import org.corianderweir.logic.platform.PlatformService;
 import org.corianderweir.model.configuration.AvailabilityZone;
 import org.corianderweir.model.configuration.Configuration;
@@ -68,6 +69,8 @@
           task -> Thread.ofPlatform().daemon().name("admissions").unstarted(task));
   private volatile Map<String, AdmissionGate> gates = Map.of();
   private volatile @Nullable FleetLimits limits;
+  private List<Member> lendersFrom = List.of();
+  private List<Lender> lenders = List.of();
   private volatile boolean left;
   private @Nullable SlotExchange exchange;
 
@@ -232,22 +235,28 @@
     if (current == null || slots == null) {
       return;
     }
-    List<Lender> peers =
-        slots.observe(membership.members()).stream()
-            .filter(member -> member.state() != InstanceState.LEAVING)
-            .map(member -> member.instance())
-            .filter(instance -> !instance.name().equals(self.name()))
-            .map(
-                instance ->
-                    new Lender(
-                        instance.name(),
-                        instance.availabilityZone().equals(self.availabilityZone())))
-            .toList();
+    List<Member> members = slots.observe(membership.members());
+    if (members != lendersFrom) {
+      lendersFrom = members;
+      lenders = lenders(members);
+    }
     long now = time.monotonicNanoseconds();
-    slots.perform(current.tick(peers, now, ThreadLocalRandom.current()));
+    slots.perform(current.tick(lenders, now, ThreadLocalRandom.current()));
     left = current.member().hasLeft();
   }
 
+  private List<Lender> lenders(List<Member> members) {
+    return members.stream()
+        .filter(member -> member.state() != InstanceState.LEAVING)
+        .map(Member::instance)
+        .filter(instance -> !instance.name().equals(self.name()))
+        .map(
+            instance ->
+                new Lender(
+                    instance.name(), instance.availabilityZone().equals(self.availabilityZone())))
+        .toList();
+  }
+
   private void receive(Received<LimitMessage> received) {
     FleetLimits current = limits;
     SlotExchange slots = exchange;
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/control/MembershipService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/control/MembershipService.java
@@ -213,7 +213,10 @@
 
   private void publish() {
     long now = time.monotonicNanoseconds();
-    members = node.members();
+    List<Member> current = node.members();
+    if (!current.equals(members)) {
+      members = List.copyOf(current);
+    }
     mayAcceptChanges = node.mayAcceptChanges(now);
     Configuration inForce = configuration.inForce();
     Optional<Confirmation> usable = node.freshness().usable();
