--- a/weirdaemon/src/main/java/org/corianderweir/daemon/control/ConfigurationService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/control/ConfigurationService.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -23,6 +22,7 @@
 import org.corianderweir.model.configuration.PastRevision;
 import org.corianderweir.model.timeline.EventCode;
 import org.corianderweir.protocol.ConfigurationDocuments;
+import org.jspecify.annotations.Nullable;
 
 /** Keeps the configuration in force; it only ever moves to a higher revision. */
 public final class ConfigurationService implements Service {
@@ -177,8 +177,8 @@
 
   private void record(
       String operation,
-      ConfigurationWriter.@org.jspecify.annotations.Nullable Accepted accepted,
-      @org.jspecify.annotations.Nullable Throwable failure) {
+      ConfigurationWriter.@Nullable Accepted accepted,
+      @Nullable Throwable failure) {
     if (accepted != null) {
       events.record(
           EventCode.CONFIGURATION_ACCEPTED,
@@ -186,10 +186,7 @@
           "operation=" + operation);
       return;
     }
-    Throwable cause =
-        failure instanceof CompletionException && failure.getCause() != null
-            ? failure.getCause()
-            : failure;
+    @Nullable Throwable cause = failure == null ? null : WeirException.unwrap(failure);
     boolean unknown =
         cause instanceof WeirException typed && typed.code() == ErrorCode.OUTCOME_UNKNOWN;
     events.record(
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/control/ConfigurationWriter.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/control/ConfigurationWriter.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.corianderweir.daemon.control.ConfigurationStore.VersionedHead;
@@ -231,10 +230,7 @@
   }
 
   private static Throwable cause(@org.jspecify.annotations.Nullable Throwable failure) {
-    if (failure instanceof CompletionException && failure.getCause() != null) {
-      return failure.getCause();
-    }
-    return failure == null ? new IllegalStateException("no answer") : failure;
+    return failure == null ? new IllegalStateException("no answer") : WeirException.unwrap(failure);
   }
 
   /** Names both changes, so that each operator sees what the other one did. */
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorService.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import org.corianderweir.daemon.control.MembershipService;
 import org.corianderweir.daemon.steering.SteeringService;
 import org.corianderweir.http.HttpCall;
@@ -107,10 +106,7 @@
   }
 
   private static HttpReply failureReply(Throwable failure) {
-    Throwable cause =
-        failure instanceof CompletionException && failure.getCause() != null
-            ? failure.getCause()
-            : failure;
+    Throwable cause = WeirException.unwrap(failure);
     if (cause instanceof WeirException typed) {
       int status =
           switch (typed.code()) {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/platform/HttpPlatformService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/platform/HttpPlatformService.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import org.corianderweir.http.HttpAddress;
 import org.corianderweir.http.HttpCall;
 import org.corianderweir.http.HttpClient;
@@ -124,10 +123,7 @@
 
   /** A connection that could not be opened means that the service certainly did nothing. */
   private CompletableFuture<HttpReply> typed(Throwable failure) {
-    Throwable cause =
-        failure instanceof CompletionException && failure.getCause() != null
-            ? failure.getCause()
-            : failure;
+    Throwable cause = WeirException.unwrap(failure);
     boolean notSent = cause instanceof WeirException known && isNotSent(known);
     return CompletableFuture.failedFuture(
         notSent
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Delivery.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Delivery.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ThreadLocalRandom;
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.daemon.steering.CapacityPermit;
@@ -290,10 +289,7 @@
   }
 
   private static RefusalReason reason(@Nullable Throwable failure) {
-    Throwable cause =
-        failure instanceof CompletionException && failure.getCause() != null
-            ? failure.getCause()
-            : failure;
+    @Nullable Throwable cause = failure == null ? null : WeirException.unwrap(failure);
     if (cause instanceof WeirException typed) {
       if (typed.code() == ErrorCode.CONNECT_FAILED) {
         return RefusalReason.BACKEND_UNREACHABLE;
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/WaitingRoom.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/WaitingRoom.java
@@ -59,7 +59,7 @@
 
   /** Returns whether requests wait in a queue; a new one then goes behind them. */
   boolean isEmpty(String name) {
-    Line line = lines.computeIfAbsent(name, unused -> new Line());
+    Line line = line(name);
     synchronized (line) {
       return line.queue.size() == 0;
     }
@@ -67,7 +67,7 @@
 
   /** Lets a request wait at most until its deadline. */
   void await(String name, Waiter waiter, long remainingNanoseconds) {
-    Line line = lines.computeIfAbsent(name, unused -> new Line());
+    Line line = line(name);
     Optional<Waiter> displaced;
     synchronized (line) {
       displaced = line.queue.offer(waiter.organisation(), waiter);
@@ -79,7 +79,7 @@
 
   /** Ends the wait of a request whose caller went away. */
   void leave(String name, Waiter waiter) {
-    Line line = lines.computeIfAbsent(name, unused -> new Line());
+    Line line = line(name);
     synchronized (line) {
       line.queue.remove(waiter.organisation(), waiter);
     }
@@ -87,7 +87,7 @@
 
   /** Lets the requests whose turn it is try, until one finds no server. */
   void wake(String name) {
-    Line line = lines.computeIfAbsent(name, unused -> new Line());
+    Line line = line(name);
     boolean goOn = true;
     while (goOn) {
       Optional<Runnable> send = Optional.empty();
@@ -107,7 +107,7 @@
   }
 
   private void expire(String name, Waiter waiter) {
-    Line line = lines.computeIfAbsent(name, unused -> new Line());
+    Line line = line(name);
     boolean waited;
     synchronized (line) {
       waited = line.queue.remove(waiter.organisation(), waiter);
--- a/weirhttp/src/main/java/org/corianderweir/http/FramingCheck.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/FramingCheck.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Optional;
+import org.glassfish.grizzly.http.HttpBrokenContentException;
 import org.glassfish.grizzly.http.util.MimeHeaders;
 
 /**
@@ -14,6 +15,30 @@
 
   private FramingCheck() {}
 
+  /**
+   * Refuses a message whose header fields are complete.
+   *
+   * @throws HttpBrokenContentException if something is wrong with them
+   */
+  static void requireNoFault(MimeHeaders headers) {
+    Optional<String> fault = fault(headers);
+    if (fault.isPresent()) {
+      throw new HttpBrokenContentException(fault.get());
+    }
+  }
+
+  /**
+   * Refuses a message as soon as the name of a field makes its end ambiguous.
+   *
+   * @param complete whether the name has been read whole
+   * @throws HttpBrokenContentException if the end is ambiguous
+   */
+  static void requireClearEnd(boolean complete, MimeHeaders headers) {
+    if (complete && isAmbiguous(headers)) {
+      throw new HttpBrokenContentException("the end of the message is ambiguous");
+    }
+  }
+
   /**
    * Returns whether the field whose name was read last makes the end of the message ambiguous.
    * Asked for each name, because the codec forgets a length when it reads an encoding.
--- a/weirhttp/src/main/java/org/corianderweir/http/StrictServerFilter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/StrictServerFilter.java
@@ -1,6 +1,5 @@
 package org.corianderweir.http;
 
-import java.util.Optional;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpBrokenContentException;
@@ -38,10 +37,7 @@
   @Override
   protected void onHttpHeadersParsed(
       HttpHeader message, MimeHeaders headers, FilterChainContext context) {
-    Optional<String> fault = FramingCheck.fault(headers);
-    if (fault.isPresent()) {
-      throw new HttpBrokenContentException(fault.get());
-    }
+    FramingCheck.requireNoFault(headers);
     headers.removeHeader(UPGRADE);
     message.getUpgradeDC().recycle();
     super.onHttpHeadersParsed(message, headers, context);
@@ -51,7 +47,7 @@
   protected boolean parseHeaderName(
       HttpHeader message, MimeHeaders headers, HeaderParsingState state, byte[] input, int end) {
     boolean complete = super.parseHeaderName(message, headers, state, input, end);
-    checkName(complete, headers);
+    FramingCheck.requireClearEnd(complete, headers);
     return complete;
   }
 
@@ -59,13 +55,7 @@
   protected boolean parseHeaderName(
       HttpHeader message, MimeHeaders headers, HeaderParsingState state, Buffer input) {
     boolean complete = super.parseHeaderName(message, headers, state, input);
-    checkName(complete, headers);
+    FramingCheck.requireClearEnd(complete, headers);
     return complete;
   }
-
-  private static void checkName(boolean complete, MimeHeaders headers) {
-    if (complete && FramingCheck.isAmbiguous(headers)) {
-      throw new HttpBrokenContentException("the end of the message is ambiguous");
-    }
-  }
 }
--- a/weirlib/src/main/java/org/corianderweir/model/WeirException.java
+++ b/weirlib/src/main/java/org/corianderweir/model/WeirException.java
@@ -1,5 +1,6 @@
 package org.corianderweir.model;
 
+import java.util.concurrent.CompletionException;
 import org.jspecify.annotations.Nullable;
 
 /** The unchecked exception of the project; its code tells programs what happened. */
@@ -19,6 +20,12 @@
     this.code = code;
   }
 
+  /** Returns the failure that a stage of a future wrapped, or the failure itself. */
+  public static Throwable unwrap(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : null;
+    return cause == null ? failure : cause;
+  }
+
   /** Returns the code of the error. */
   public ErrorCode code() {
     return code;
