--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
@@ -33,7 +33,7 @@
   private static final int ANSWER_LIMIT_BYTES = 8 * 1024 * 1024;
   private static final int BODY_LIMIT_BYTES = 64 * 1024 * 1024;
   private static final int CONNECTIONS_PER_SERVER = 64;
-  private static final int WORKER_THREADS = 2;
+  private static final int WORKER_THREADS = 1;
   private static final int STATUS_OK = 200;
   private static final int STATUS_NOT_FOUND = 404;
   private static final int STATUS_UNAVAILABLE = 503;
@@ -70,13 +70,12 @@
         new HttpClient(
             new HttpClientOptions("servers", CONNECT_TIMEOUT, IDLE_LIFETIME, ANSWER_LIMIT_BYTES)
                 .withConnectionsPerAddress(CONNECTIONS_PER_SERVER)
-                .requiringEcho(names.requestIdentifier())
-                .acceptingEndAtClose());
-    requests = listener("requests", settings.callers(), WORKER_THREADS, this::request);
+                .requiringEcho(names.requestIdentifier()));
+    requests = listener("requests", settings.callers(), this::request);
     controlListeners =
         List.of(
-            listener("readiness", settings.readiness(), 1, this::readiness),
-            listener("look-ups", settings.lookups(), 1, this::lookup));
+            listener("readiness", settings.readiness(), this::readiness),
+            listener("look-ups", settings.lookups(), this::lookup));
   }
 
   void start() {
@@ -106,10 +105,10 @@
     client.stop();
   }
 
-  private static HttpListener listener(
-      String name, HttpAddress address, int threads, HttpEndpoint endpoint) {
+  private static HttpListener listener(String name, HttpAddress address, HttpEndpoint endpoint) {
     return new HttpListener(
-        new HttpListenerOptions(name, address.host(), address.port(), BODY_LIMIT_BYTES, threads),
+        new HttpListenerOptions(
+            name, address.host(), address.port(), BODY_LIMIT_BYTES, WORKER_THREADS),
         endpoint);
   }
 
--- a/weirhttp/src/main/java/org/corianderweir/http/ExchangeFilter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ExchangeFilter.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
 import org.corianderweir.model.ErrorCode;
 import org.glassfish.grizzly.Buffer;
@@ -17,7 +16,6 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpResponsePacket;
-import org.jspecify.annotations.Nullable;
 
 /** Collects the parts of answers and completes the exchange that waits on the connection. */
 final class ExchangeFilter extends BaseFilter {
@@ -30,15 +28,7 @@
   private final HttpClientOptions options;
   private final BiConsumer<HttpAddress, Connection<?>> release;
 
-  /**
-   * An exchange that waits for its answer.
-   *
-   * @param head head of an answer that ends with its connection
-   */
-  private record Pending(
-      HttpExchange exchange,
-      ByteArrayOutputStream body,
-      AtomicReference<@Nullable HttpResponsePacket> head) {}
+  private record Pending(HttpExchange exchange, ByteArrayOutputStream body) {}
 
   /**
    * Creates the filter.
@@ -51,8 +41,7 @@
   }
 
   static void begin(Connection<?> connection, HttpExchange exchange) {
-    PENDING.set(
-        connection, new Pending(exchange, new ByteArrayOutputStream(), new AtomicReference<>()));
+    PENDING.set(connection, new Pending(exchange, new ByteArrayOutputStream()));
   }
 
   @Override
@@ -69,28 +58,20 @@
       return context.getStopAction();
     }
     if (!isDelimited(head, pending.exchange())) {
-      if (options.endsAtClose() && !content.isLast()) {
-        pending.head().set(head);
-        return keep(context, content, pending);
-      }
       abandon(connection, pending, "the end of the answer can't be known");
       return context.getStopAction();
     }
-    keep(context, content, pending);
-    if (content.isLast() && PENDING.get(connection) != null) {
-      PENDING.remove(connection);
-      finish(context, pending, head);
-    }
-    return context.getStopAction();
-  }
-
-  private NextAction keep(FilterChainContext context, HttpContent content, Pending pending) {
     Buffer buffer = content.getContent();
     byte[] bytes = new byte[buffer.remaining()];
     buffer.get(bytes);
     pending.body().writeBytes(bytes);
     if (pending.body().size() > options.answerLimitBytes()) {
-      abandon(context.getConnection(), pending, "the answer is above the limit");
+      abandon(connection, pending, "the answer is above the limit");
+      return context.getStopAction();
+    }
+    if (content.isLast()) {
+      PENDING.remove(connection);
+      finish(context, pending, head);
     }
     return context.getStopAction();
   }
@@ -138,13 +119,7 @@
     if (pending == null) {
       return context.getInvokeAction();
     }
-    HttpResponsePacket head = pending.head().get();
-    boolean ended = context.getConnection().getCloseReason().getCause() instanceof EOFException;
-    if (head != null && ended) {
-      finish(context, pending, head);
-    } else {
-      failLost(pending, "the connection was closed before the whole answer");
-    }
+    failLost(pending, "the connection was closed before the whole answer");
     return context.getInvokeAction();
   }
 
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
@@ -27,7 +27,7 @@
 import org.glassfish.grizzly.memory.MemoryManager;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -39,7 +39,6 @@
   /** The field by which a server may name the request that it answers. */
   public static final String REQUEST_IDENTIFIER_HEADER = "Weir-Request";
 
-  private static final int WORKER_THREADS = 2;
   private static final Duration SWEEP_PERIOD = Duration.ofSeconds(5);
 
   private final HttpClientOptions options;
@@ -51,12 +50,8 @@
   public HttpClient(HttpClientOptions options) {
     this.options = options;
     transport = TCPNIOTransportBuilder.newInstance().setTcpNoDelay(true).build();
-    transport.setWorkerThreadPoolConfig(
-        ThreadPoolConfig.defaultConfig()
-            .setPoolName(options.name())
-            .setDaemon(true)
-            .setCorePoolSize(WORKER_THREADS)
-            .setMaxPoolSize(WORKER_THREADS));
+    // Nothing blocks in the filters, so no worker threads are needed.
+    transport.setIOStrategy(SameThreadIOStrategy.getInstance());
     transport.setSelectorRunnersCount(1);
     transport.setProcessor(
         FilterChainBuilder.stateless()
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpClientOptions.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpClientOptions.java
@@ -14,7 +14,6 @@
  * @param connectionsPerAddress connections to one address at the same time, opening ones too
  * @param opensAhead whether a connection is opened when the last idle one is taken
  * @param echo field in which servers must repeat the value of the request; empty asks for none
- * @param endsAtClose whether an answer without a length may end with its connection
  */
 public record HttpClientOptions(
     String name,
@@ -24,8 +23,7 @@
     Optional<String> localHost,
     int connectionsPerAddress,
     boolean opensAhead,
-    Optional<String> echo,
-    boolean endsAtClose) {
+    Optional<String> echo) {
   private static final int DEFAULT_CONNECTIONS_PER_ADDRESS = 256;
 
   /** Creates options that let the system choose the local address. */
@@ -39,8 +37,7 @@
         Optional.empty(),
         DEFAULT_CONNECTIONS_PER_ADDRESS,
         false,
-        Optional.empty(),
-        false);
+        Optional.empty());
   }
 
   /** Returns the same options with connections that start from the given IP address. */
@@ -53,8 +50,7 @@
         Optional.of(host),
         connectionsPerAddress,
         opensAhead,
-        echo,
-        endsAtClose);
+        echo);
   }
 
   /** Returns the same options with another bound on the connections to one address. */
@@ -67,8 +63,7 @@
         localHost,
         connections,
         opensAhead,
-        echo,
-        endsAtClose);
+        echo);
   }
 
   /**
@@ -83,8 +78,7 @@
         localHost,
         connectionsPerAddress,
         true,
-        echo,
-        endsAtClose);
+        echo);
   }
 
   /** Returns the same options for servers that repeat the value of a field in each answer. */
@@ -97,21 +91,6 @@
         localHost,
         connectionsPerAddress,
         opensAhead,
-        Optional.of(header),
-        endsAtClose);
-  }
-
-  /** Returns the same options for servers whose answers may end with their connection. */
-  public HttpClientOptions acceptingEndAtClose() {
-    return new HttpClientOptions(
-        name,
-        connectTimeout,
-        idleLifetime,
-        answerLimitBytes,
-        localHost,
-        connectionsPerAddress,
-        opensAhead,
-        echo,
-        true);
+        Optional.of(header));
   }
 }
--- a/weirhttp/src/test/java/org/corianderweir/http/HttpClientTest.java
+++ b/weirhttp/src/test/java/org/corianderweir/http/HttpClientTest.java
@@ -11,7 +11,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -188,4 +190,66 @@
       return ((WeirException) failure.getCause()).code().name();
     }
   }
+
+  @DataProvider
+  public Object[][] endsWithoutLength() {
+    return new Object[][] {{true}, {false}};
+  }
+
+  /** Grizzly reports an end and a reset alike, so no answer that ends with either is believed. */
+  @Test(dataProvider = "endsWithoutLength")
+  public void anAnswerThatEndsWithItsConnectionIsLost(boolean reset) throws Exception {
+    String head = OK + "Request-Name: one\r\n\r\n";
+    try (RawServer server =
+        new RawServer(
+            conversation -> {
+              conversation.read();
+              conversation.write(head + "first ");
+              conversation.socket().setSoLinger(reset, 0);
+              TimeUnit.MILLISECONDS.sleep(50);
+            })) {
+      assertEquals(codeOf(exchangeWithEcho(server)), ErrorCode.ANSWER_LOST);
+    }
+  }
+
+  @DataProvider
+  public Object[][] echoes() {
+    return new Object[][] {{"Request-Name: two\r\n"}, {""}};
+  }
+
+  @Test(dataProvider = "echoes")
+  public void anAnswerWithoutTheEchoIsLost(String field) throws Exception {
+    try (RawServer server =
+        new RawServer(
+            conversation -> {
+              conversation.read();
+              conversation.write(OK + field + "Content-Length: 2\r\n\r\nab");
+              conversation.awaitClose();
+            })) {
+      assertEquals(codeOf(exchangeWithEcho(server)), ErrorCode.ANSWER_LOST);
+    }
+  }
+
+  private CompletableFuture<HttpReply> exchangeWithEcho(RawServer server) {
+    client.stop();
+    client =
+        new HttpClient(
+            new HttpClientOptions("test", LONG, LONG, LIMIT_BYTES).requiringEcho("Request-Name"));
+    client.start();
+    HttpCall call = HttpCall.of("GET", "/");
+    return client.exchange(
+        server.address(),
+        new HttpCall(
+            call.method(), call.target(), call.headers().with("Request-Name", "one"), call.body()),
+        LONG);
+  }
+
+  private static ErrorCode codeOf(CompletableFuture<HttpReply> exchange) throws Exception {
+    try {
+      exchange.get(20, TimeUnit.SECONDS);
+      throw new AssertionError("an answer");
+    } catch (ExecutionException failure) {
+      return ((WeirException) failure.getCause()).code();
+    }
+  }
 }
