--- /dev/null
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficDirectorTest.java
@@ -0,0 +1,244 @@
+package org.corianderweir.logic.traffic;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.corianderweir.model.traffic.FleetMember;
+import org.corianderweir.model.traffic.ServerEntry;
+import org.corianderweir.model.traffic.TrafficRoute;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link TrafficDirector}. */
+public class TrafficDirectorTest {
+  private static final long NOW = TrafficFixture.NOW;
+  private static final long MILLISECOND = Duration.ofMillis(1).toNanos();
+  private static final SendOutcome.LoadReport NO_REPORT =
+      new SendOutcome.LoadReport(OptionalLong.empty(), OptionalLong.empty());
+
+  private final TrafficRoute read = TrafficFixture.route("read", true, Set.of());
+  private final TrafficRoute book = TrafficFixture.route("book", false, Set.of());
+  private final TrafficRoute home = TrafficFixture.route("home", true, Set.of("south"));
+  private final List<TrafficRoute> routes = List.of(read, book, home);
+
+  @Test
+  public void withoutConfigurationNothingHasRun() {
+    TrafficDirector director =
+        new TrafficDirector(TrafficFixture.SELF, TrafficFixture.PLACE, TrafficFixture.BOUNDS);
+    Admission admission = director.admit(TrafficFixture.request("read", "1"), NOW);
+    assertEquals(((Admission.Rejected) admission).reason(), RejectionReason.NOT_READY);
+  }
+
+  @DataProvider
+  public Object[][] strangers() {
+    return new Object[][] {
+      {"/read/x", Optional.empty(), RejectionReason.KEY_UNKNOWN},
+      {"/read/x", Optional.of("other"), RejectionReason.KEY_UNKNOWN},
+      {"/none/x", Optional.of("key-1"), RejectionReason.NO_ROUTE}
+    };
+  }
+
+  @Test(dataProvider = "strangers")
+  public void strangersAreRejected(String path, Optional<String> key, RejectionReason reason) {
+    RequestFacts facts =
+        new RequestFacts("r", "rota.example", path, key, Optional.empty(), OptionalLong.of(10));
+    Admission admission = director(TrafficFixture.servers("north-a", 2)).admit(facts, NOW);
+    assertEquals(((Admission.Rejected) admission).reason(), reason);
+  }
+
+  @Test
+  public void anObjectStaysOnItsServer() {
+    TrafficDirector director = director(TrafficFixture.servers("north-a", 5));
+    Set<String> servers = new HashSet<>();
+    for (int number = 0; number < 10; number++) {
+      RequestPlan plan = admit(director, "read", "7");
+      NextStep.Send send = (NextStep.Send) director.next(plan, NOW);
+      servers.add(send.server().entry().identifier());
+      director.ended(plan, send.server(), success(), NOW, NOW + MILLISECOND);
+    }
+    assertEquals(servers.size(), 1);
+  }
+
+  @Test
+  public void homesBind() {
+    List<ServerEntry> servers = new ArrayList<>(TrafficFixture.servers("north-a", 5));
+    servers.addAll(TrafficFixture.servers("south-a", 1));
+    TrafficDirector director = director(servers);
+    for (int number = 0; number < 20; number++) {
+      NextStep.Send send = (NextStep.Send) director.next(admit(director, "home", "" + number), NOW);
+      assertEquals(send.server().region(), "south");
+    }
+  }
+
+  @Test
+  public void withoutServersAtHomeNothingHasRun() {
+    TrafficDirector director = director(TrafficFixture.servers("north-a", 5));
+    NextStep step = director.next(admit(director, "home", "1"), NOW);
+    assertEquals(((NextStep.Refuse) step).reason(), RejectionReason.NO_SERVER);
+  }
+
+  @Test
+  public void anEvacuatedZoneGetsNothing() {
+    List<ServerEntry> servers = new ArrayList<>(TrafficFixture.servers("north-a", 2));
+    servers.addAll(TrafficFixture.servers("south-a", 2));
+    TrafficDirector director = director(servers);
+    director.apply(TrafficFixture.view(routes, servers, Set.of("north-a")), NOW);
+    for (int number = 0; number < 20; number++) {
+      NextStep.Send send = (NextStep.Send) director.next(admit(director, "read", "" + number), NOW);
+      assertEquals(send.server().region(), "south");
+    }
+  }
+
+  @DataProvider
+  public Object[][] outcomes() {
+    SendOutcome notRun = new SendOutcome.NotRun(false, NO_REPORT);
+    SendOutcome failed = new SendOutcome.Answered(false, true, NO_REPORT);
+    return new Object[][] {
+      {"read", new SendOutcome.Unreachable(), NextStep.Send.class},
+      {"read", notRun, NextStep.Send.class},
+      {"read", new SendOutcome.NotRun(true, NO_REPORT), NextStep.Send.class},
+      {"read", new SendOutcome.Lost(), NextStep.Send.class},
+      {"read", failed, NextStep.Send.class},
+      {"read", new SendOutcome.TimedOut(), NextStep.Fail.class},
+      {"book", new SendOutcome.Unreachable(), NextStep.Send.class},
+      {"book", notRun, NextStep.Send.class},
+      {"book", new SendOutcome.NotRun(true, NO_REPORT), NextStep.Send.class},
+      {"book", new SendOutcome.Lost(), NextStep.Fail.class},
+      {"book", failed, NextStep.Deliver.class},
+      {"book", new SendOutcome.TimedOut(), NextStep.Fail.class}
+    };
+  }
+
+  @Test(dataProvider = "outcomes")
+  public void whatFollowsDependsOnWhatIsCertain(
+      String route, SendOutcome outcome, Class<? extends NextStep> next) {
+    TrafficDirector director = director(TrafficFixture.servers("north-a", 4));
+    RequestPlan plan = admit(director, route, "1");
+    NextStep.Send send = (NextStep.Send) director.next(plan, NOW);
+    NextStep step = director.ended(plan, send.server(), outcome, NOW, NOW + MILLISECOND);
+    assertEquals(step.getClass(), next);
+    if (step instanceof NextStep.Send again) {
+      assertFalse(again.server().equals(send.server()));
+    }
+  }
+
+  /** A request that may have run is never called refused, whatever happens to it afterwards. */
+  @Test
+  public void aLostIdempotentRequestIsNotCalledRefused() {
+    TrafficDirector director = director(TrafficFixture.servers("north-a", 2));
+    RequestPlan plan = admit(director, "read", "1");
+    NextStep step = director.next(plan, NOW);
+    step = director.ended(plan, server(step), new SendOutcome.Lost(), NOW, NOW);
+    SendOutcome notRun = new SendOutcome.NotRun(false, NO_REPORT);
+    step = director.ended(plan, server(step), notRun, NOW, NOW);
+    assertEquals(step, new NextStep.Fail(false));
+  }
+
+  @Test
+  public void attemptsEndWithTheRoutesMaximum() {
+    TrafficDirector director = director(TrafficFixture.servers("north-a", 4));
+    RequestPlan plan = admit(director, "read", "1");
+    NextStep step = director.next(plan, NOW);
+    step = director.ended(plan, server(step), new SendOutcome.Lost(), NOW, NOW);
+    step = director.ended(plan, server(step), new SendOutcome.Lost(), NOW, NOW);
+    assertEquals(step, new NextStep.Fail(false));
+  }
+
+  @Test
+  public void theRetryBudgetEnds() {
+    TrafficDirector director = director(TrafficFixture.servers("north-a", 4));
+    int repeats = 0;
+    for (int number = 0; number < 1_000; number++) {
+      RequestPlan plan = admitted(director, "read", "" + number, NOW + number * MILLISECOND * 12);
+      if (plan == null) {
+        continue;
+      }
+      long now = NOW + number * MILLISECOND * 12;
+      NextStep step = director.next(plan, now);
+      step = director.ended(plan, server(step), new SendOutcome.Lost(), now, now);
+      if (step instanceof NextStep.Send send) {
+        repeats++;
+        director.ended(plan, send.server(), success(), now, now + MILLISECOND);
+      }
+    }
+    double requestsInWindow = 10_000 / 12.0;
+    assertTrue(repeats <= 1.2 * (0.2 * requestsInWindow + 20), "repeats " + repeats);
+  }
+
+  @Test
+  public void theRateOfAnOrganisationEnds() {
+    TrafficDirector director = director(TrafficFixture.servers("north-a", 4));
+    int admitted = 0;
+    for (int number = 0; number < 5_000; number++) {
+      if (admitted(director, "read", "" + number, NOW + number * MILLISECOND) != null) {
+        admitted++;
+      }
+    }
+    assertTrue(admitted <= (100 * 5 + 100) * 1.1 + 20, "admitted " + admitted);
+    assertTrue(admitted >= 100 * 5, "admitted " + admitted);
+  }
+
+  @Test
+  public void aColdServerGetsFewRequestsFromTheWholeFleet() {
+    List<FleetMember> members = new ArrayList<>();
+    for (int number = 0; number < 12; number++) {
+      members.add(TrafficFixture.member("entry-" + number, "north-a", "north"));
+    }
+    List<ServerEntry> servers = List.of(TrafficFixture.cold("north-a-0", "north-a"));
+    Map<Long, Integer> requestsBySecond = new HashMap<>();
+    int inAll = 0;
+    for (FleetMember member : members) {
+      TrafficDirector director =
+          new TrafficDirector(member, TrafficFixture.PLACE, TrafficFixture.BOUNDS);
+      director.apply(TrafficFixture.view(routes, servers, Set.of(), members), NOW);
+      for (int number = 0; number < 290; number++) {
+        long now = NOW + number * 10 * MILLISECOND;
+        RequestPlan plan = admitted(director, "read", "" + number, now);
+        if (plan != null && director.next(plan, now) instanceof NextStep.Send) {
+          requestsBySecond.merge((now - NOW) / (1_000 * MILLISECOND), 1, Integer::sum);
+          inAll++;
+        }
+      }
+    }
+    for (int requests : requestsBySecond.values()) {
+      assertTrue(requests <= 9 * 1.5 + 5, "requests in a second " + requests);
+    }
+    assertTrue(inAll > 0, "a cold server gets some requests");
+  }
+
+  private TrafficDirector director(List<ServerEntry> servers) {
+    TrafficDirector director =
+        new TrafficDirector(TrafficFixture.SELF, TrafficFixture.PLACE, TrafficFixture.BOUNDS);
+    director.apply(TrafficFixture.view(routes, servers, Set.of()), NOW);
+    return director;
+  }
+
+  private static RequestPlan admit(TrafficDirector director, String route, String object) {
+    Admission admission = director.admit(TrafficFixture.request(route, object), NOW);
+    return ((Admission.Admitted) admission).plan();
+  }
+
+  private static RequestPlan admitted(
+      TrafficDirector director, String route, String object, long now) {
+    Admission admission = director.admit(TrafficFixture.request(route, object), now);
+    return admission instanceof Admission.Admitted admitted ? admitted.plan() : null;
+  }
+
+  private static ServerState server(NextStep step) {
+    return ((NextStep.Send) step).server();
+  }
+
+  private static SendOutcome success() {
+    return new SendOutcome.Answered(true, false, NO_REPORT);
+  }
+}
--- /dev/null
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficFixture.java
@@ -0,0 +1,109 @@
+package org.corianderweir.logic.traffic;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.corianderweir.model.traffic.CallerLimits;
+import org.corianderweir.model.traffic.CallerOrganisation;
+import org.corianderweir.model.traffic.FleetMember;
+import org.corianderweir.model.traffic.FleetPlace;
+import org.corianderweir.model.traffic.ServerEntry;
+import org.corianderweir.model.traffic.ServiceSettings;
+import org.corianderweir.model.traffic.ServiceShare;
+import org.corianderweir.model.traffic.TrafficConfiguration;
+import org.corianderweir.model.traffic.TrafficRoute;
+
+/** A small fleet: two regions, two services, one organisation. */
+final class TrafficFixture {
+  static final long NOW = Duration.ofHours(1).toNanos();
+  static final FleetPlace PLACE =
+      new FleetPlace("north-a", "north", Map.of("north-a", "north", "south-a", "south"));
+  static final FleetMember SELF = member("entry-1", "north-a", "north");
+  static final FleetBounds BOUNDS = new FleetBounds(0.2, 20, Duration.ofSeconds(10), 0.1, 20);
+  static final CallerOrganisation ORGANISATION = organisation(100, 100, Set.of("key-1"));
+
+  private TrafficFixture() {}
+
+  static FleetMember member(String name, String zone, String region) {
+    return new FleetMember(name, "10.0.0.1", 80, 81, zone, region, 1);
+  }
+
+  static CallerOrganisation organisation(double rate, double burst, Set<String> keys) {
+    return new CallerOrganisation("club", keys, OptionalInt.empty(), rate, burst, Set.of());
+  }
+
+  static TrafficRoute route(String name, boolean idempotent, Set<String> homes) {
+    return new TrafficRoute(
+        name,
+        "rota.example",
+        "/" + name + "/",
+        idempotent,
+        Duration.ofSeconds(2),
+        Duration.ofMillis(600),
+        1,
+        List.of(new ServiceShare("desk", 1)),
+        2,
+        false,
+        true,
+        homes);
+  }
+
+  static TrafficConfiguration configuration(long version, List<TrafficRoute> routes) {
+    ServiceSettings desk = new ServiceSettings("desk", "/health", 100, Duration.ofSeconds(3), 9);
+    return new TrafficConfiguration(
+        version,
+        routes,
+        Map.of("desk", desk),
+        List.of(ORGANISATION),
+        new CallerLimits(1000, 1000, Duration.ofSeconds(3), Duration.ofSeconds(15)));
+  }
+
+  static ServerEntry server(String identifier, String zone) {
+    return new ServerEntry(
+        identifier, "desk", "10.0.1.1", 8080, zone, 3, false, Duration.ZERO, 1_000);
+  }
+
+  static ServerEntry cold(String identifier, String zone) {
+    return new ServerEntry(
+        identifier, "desk", "10.0.1.1", 8080, zone, 3, false, Duration.ofSeconds(3), 1_000);
+  }
+
+  static FleetView view(List<TrafficRoute> routes, List<ServerEntry> servers, Set<String> zones) {
+    return view(routes, servers, zones, List.of(SELF));
+  }
+
+  static FleetView view(
+      List<TrafficRoute> routes,
+      List<ServerEntry> servers,
+      Set<String> zones,
+      List<FleetMember> members) {
+    Map<String, ServerEntry> byIdentifier = new HashMap<>();
+    servers.forEach(server -> byIdentifier.put(server.identifier(), server));
+    return new FleetView(
+        Optional.of(new TrafficIndex(configuration(1, routes))), byIdentifier, zones, members, 1);
+  }
+
+  static List<ServerEntry> servers(String zone, int count) {
+    List<ServerEntry> servers = new ArrayList<>();
+    for (int number = 0; number < count; number++) {
+      servers.add(server(zone + "-" + number, zone));
+    }
+    return servers;
+  }
+
+  static RequestFacts request(String route, String object) {
+    return new RequestFacts(
+        "request-" + route + object,
+        "rota.example",
+        "/" + route + "/x",
+        Optional.of("key-1"),
+        Optional.of(object),
+        OptionalLong.of(4_000));
+  }
+}
