--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
@@ -1,16 +1,21 @@
 package org.corianderweir.daemon.entry;
 
+import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
+import java.util.Optional;
 import org.corianderweir.daemon.control.EventLog;
+import org.corianderweir.daemon.peer.PeerTransport;
 import org.corianderweir.daemon.settings.EntrySettings;
 import org.corianderweir.http.HttpClient;
 import org.corianderweir.http.HttpClientOptions;
 import org.corianderweir.kernel.ControlLoop;
+import org.corianderweir.kernel.Kernel;
 import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.traffic.FleetFacts;
 import org.corianderweir.logic.traffic.FleetView;
 import org.corianderweir.logic.traffic.TrafficDirector;
 import org.corianderweir.model.timeline.EventCode;
+import org.corianderweir.model.topology.EntryInstance;
 import org.corianderweir.model.traffic.FleetMember;
 import org.corianderweir.platform.HttpMetadataStore;
 import org.corianderweir.platform.PlatformHeaders;
@@ -33,10 +38,18 @@
   private final StoreFollower follower;
   private final MemberRegistration registration;
   private final EntryService entry;
+  private final HttpMetadataStore store;
+  private final PlatformSchema schema = new PlatformSchema();
+  private final TrafficDirector director;
+  private final TimeSource time;
+  private final Kernel kernel = new Kernel();
+  private Optional<DemandExchange> exchange = Optional.empty();
+  private boolean secretAsked;
   private boolean registered;
 
   /** Creates the parts; nothing is started yet. */
   public EntryInstanceServices(EntrySettings settings, TimeSource time) {
+    this.time = time;
     self = settings.member(time.wallMilliseconds());
     events = new EventLog(self.name(), time);
     loop =
@@ -47,13 +60,11 @@
         new HttpClient(
             new HttpClientOptions(
                 "store", STORE_CONNECT_TIMEOUT, STORE_IDLE_LIFETIME, STORE_ANSWER_LIMIT_BYTES));
-    HttpMetadataStore store =
-        new HttpMetadataStore(storeClient, settings.store(), STORE_TIMEOUT, () -> {});
-    PlatformSchema schema = new PlatformSchema();
+    store = new HttpMetadataStore(storeClient, settings.store(), STORE_TIMEOUT, () -> {});
     follower =
         new StoreFollower(store, loop, events, time, new FleetFacts(schema, CATCH_UP), this::apply);
     registration = new MemberRegistration(store, schema, loop, events, self);
-    TrafficDirector director = new TrafficDirector(self, settings.place(), settings.bounds());
+    director = new TrafficDirector(self, settings.place(), settings.bounds());
     entry = new EntryService(settings, director, PlatformHeaders.NAMES, time);
   }
 
@@ -70,6 +81,7 @@
     registration.stop();
     entry.leave();
     follower.stop();
+    kernel.stop();
     loop.stop();
     storeClient.stop();
   }
@@ -81,9 +93,37 @@
 
   private void apply(FleetView view) {
     entry.apply(view);
+    if (view.peerSecret().isEmpty()) {
+      if (!secretAsked) {
+        secretAsked = true;
+        PeerSecret.create(store, schema, events);
+      }
+    } else if (exchange.isEmpty()) {
+      exchange = Optional.of(startExchange(view.peerSecret().get()));
+    }
+    exchange.ifPresent(running -> running.apply(view));
     if (!registered && view.index().isPresent()) {
       registered = true;
       registration.start();
     }
   }
+
+  private DemandExchange startExchange(String secret) {
+    EntryInstance instance =
+        new EntryInstance(
+            self.name(),
+            self.region(),
+            self.zone(),
+            self.host(),
+            self.callerPort(),
+            self.callerPort(),
+            self.peerPort());
+    PeerTransport transport =
+        new PeerTransport(instance, self.incarnation(), secret, events, new MetricRegistry(), time);
+    kernel.register(EventLog.NAME, events).register(PeerTransport.NAME, transport);
+    kernel.start();
+    DemandExchange started = new DemandExchange(self, director, transport, loop, time);
+    started.start();
+    return started;
+  }
 }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreFollower.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreFollower.java
@@ -20,8 +20,8 @@
 
 /** Follows the store: lists it once, then watches it. Runs on the control thread. */
 final class StoreFollower {
-  /** How long the store holds a watch; a connection that fell silent is noticed after it. */
-  private static final Duration PATIENCE = Duration.ofMillis(4_500);
+  /** How long the store holds a watch; one that hears nothing any more is noticed after it. */
+  private static final Duration PATIENCE = Duration.ofMillis(1_500);
 
   /** Changes within this time are fetched with one call. */
   private static final Duration PAUSE = Duration.ofMillis(250);
--- a/weirlib/src/main/java/org/corianderweir/coordination/FleetNode.java
+++ b/weirlib/src/main/java/org/corianderweir/coordination/FleetNode.java
@@ -29,6 +29,7 @@
 import org.corianderweir.model.topology.InstanceState;
 import org.corianderweir.protocol.ConfigurationDocuments;
 import org.corianderweir.protocol.ConfigurationMessage;
+import org.corianderweir.protocol.FleetMessage;
 import org.corianderweir.protocol.LimitMessage;
 import org.corianderweir.protocol.MembershipMessage;
 import org.corianderweir.protocol.MembershipMessage.AgedRevision;
@@ -168,6 +169,9 @@
       case LimitMessage limit -> {
         // The limits have a state machine of their own.
       }
+      case FleetMessage fleet -> {
+        // Demand is shared only by instances that follow the platform's store.
+      }
     }
     return outbox.drain();
   }
--- a/weirlib/src/main/java/org/corianderweir/logic/platform/MetadataStore.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/platform/MetadataStore.java
@@ -41,4 +41,7 @@
 
   /** Writes a key under a lease; returns false if the lease has ended. */
   CompletableFuture<Boolean> write(String key, byte[] value, long lease);
+
+  /** Writes a key without a lease unless it exists; returns whether it did. */
+  CompletableFuture<Boolean> create(String key, byte[] value);
 }
--- a/weirlib/src/main/java/org/corianderweir/logic/platform/StoreFact.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/platform/StoreFact.java
@@ -18,6 +18,9 @@
   /** An entry instance. */
   record MemberFact(FleetMember member) implements StoreFact {}
 
+  /** The secret that entry instances prove to each other. */
+  record PeerSecretFact(String secret) implements StoreFact {}
+
   /** An item that can't be read; it says nothing. */
   record Unreadable(String key, String reason) implements StoreFact {}
 
--- a/weirlib/src/main/java/org/corianderweir/logic/platform/StoreSchema.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/platform/StoreSchema.java
@@ -10,6 +10,9 @@
   /** Returns the key under which an entry instance registers. */
   String memberKey(FleetMember member);
 
+  /** Returns the key of the secret that entry instances prove to each other. */
+  String peerSecretKey();
+
   /** Encodes the registration of an entry instance. */
   byte[] encode(FleetMember member);
 }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/FleetFacts.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/FleetFacts.java
@@ -101,12 +101,14 @@
     Map<String, ServerEntry> servers = new HashMap<>();
     Set<String> evacuated = new HashSet<>();
     List<FleetMember> members = new ArrayList<>();
+    Optional<String> peerSecret = Optional.empty();
     for (Known entry : known.values()) {
       switch (entry.fact()) {
         case StoreFact.ServerFact server ->
             servers.put(server.server().identifier(), server.server());
         case StoreFact.EvacuationFact evacuation -> evacuated.add(evacuation.zone());
         case StoreFact.MemberFact member -> members.add(member.member());
+        case StoreFact.PeerSecretFact secret -> peerSecret = Optional.of(secret.secret());
         case StoreFact.ConfigurationFact unused -> {
           // The index holds the newest version.
         }
@@ -119,7 +121,7 @@
       }
     }
     members.sort(Comparator.comparing(FleetMember::name));
-    return new FleetView(index, servers, evacuated, members, revision);
+    return new FleetView(index, servers, evacuated, members, peerSecret, revision);
   }
 
   private void write(StoreItem item, List<String> unreadable) {
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/FleetView.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/FleetView.java
@@ -14,6 +14,7 @@
  * @param servers the backend servers by identifier
  * @param evacuatedZones zones whose servers get nothing
  * @param members the entry instances that take requests
+ * @param peerSecret secret that entry instances prove to each other
  * @param revision revision of the store that this is based on
  */
 public record FleetView(
@@ -21,10 +22,11 @@
     Map<String, ServerEntry> servers,
     Set<String> evacuatedZones,
     List<FleetMember> members,
+    Optional<String> peerSecret,
     long revision) {
   /** Nothing is known. */
   public static final FleetView EMPTY =
-      new FleetView(Optional.empty(), Map.of(), Set.of(), List.of(), 0);
+      new FleetView(Optional.empty(), Map.of(), Set.of(), List.of(), Optional.empty(), 0);
 
   /** Copies the collections. */
   public FleetView {
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/RateShare.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/RateShare.java
@@ -1,69 +1,127 @@
 package org.corianderweir.logic.traffic;
 
 import java.time.Duration;
-import org.corianderweir.logic.limits.TokenBucket;
+import java.util.concurrent.TimeUnit;
 import org.corianderweir.model.traffic.CallerOrganisation;
 
 /**
- * The part of an organisation's limit that one instance may admit without asking the others. Not
- * thread-safe.
+ * The part of an organisation's limit that this instance may admit, a token bucket whose rate
+ * follows the demand of the fleet. As long as the organisation asks for less than its limit, each
+ * instance may admit what it was asked for and an equal part of what is left; beyond that the limit
+ * is divided by demand. The parts of instances that know the same demand add up to the limit. One
+ * that hears nothing falls back to an equal part, or less.
+ *
+ * <p>A small limit leaves an instance less than one token at a time. So in calm times requests may
+ * be admitted ahead of tokens; when the demand grows, that debt is paid back first, and the
+ * requests admitted in a window stay those that the tokens allow. Not thread-safe.
  */
 final class RateShare {
   private static final double NANOSECONDS_PER_SECOND = 1e9;
+  private static final long DEMAND_WINDOW_NANOSECONDS = TimeUnit.SECONDS.toNanos(3);
+  private static final int DEMAND_BUCKETS = 12;
 
-  /** Keeps requests that are under way when a window begins below the bound. */
+  /** A digest that is older says nothing any more; several are lost by then. */
+  private static final long DIGEST_LIFETIME_NANOSECONDS = TimeUnit.SECONDS.toNanos(2);
+
+  /** Part of a limit that is divided equally although the demand is beyond it. */
+  private static final double EQUAL_PART = 0.2;
+
+  /** Up to this part of its limit an organisation's demand counts as calm. */
+  private static final double CALM_PART = 0.8;
+
+  /** Requests that may be admitted ahead of tokens in calm times, and a second's demand more. */
+  private static final double CALM_DEBT = 2;
+
+  /** Keeps the sum of the parts below the bound although they are renewed at different times. */
   private static final double SAFETY = 0.9;
 
-  private final double requestsPerSecond;
-  private final double burst;
-  private final int instances;
-  private final double tokensPerSecond;
-  private final TokenBucket bucket;
-
-  private RateShare(
-      CallerOrganisation organisation,
-      FleetBounds bounds,
-      int instances,
-      double formerPart,
-      long nowNanoseconds) {
-    requestsPerSecond = organisation.requestsPerSecond();
-    burst = organisation.burst();
-    this.instances = instances;
-    tokensPerSecond = requestsPerSecond * (1 + bounds.rateOverage()) / instances;
-    double capacity =
-        Math.max(
-            1, SAFETY * (burst * (1 + bounds.rateOverage()) + bounds.rateMargin()) / instances);
-    bucket = new TokenBucket(tokensPerSecond, capacity, formerPart * capacity, nowNanoseconds);
-  }
+  private final FleetBounds bounds;
+  private final SlidingCount demand = new SlidingCount(DEMAND_WINDOW_NANOSECONDS, DEMAND_BUCKETS);
+  private double limitPerSecond;
+  private double limitBurst;
+  private double reported;
+  private double fleet;
+  private long digestAt;
+  private boolean digested;
+  private double tokens;
+  private double lastPart;
+  private long updatedAt;
 
-  static RateShare full(
+  RateShare(
       CallerOrganisation organisation, FleetBounds bounds, int instances, long nowNanoseconds) {
-    return new RateShare(organisation, bounds, instances, 1, nowNanoseconds);
+    this.bounds = bounds;
+    adopt(organisation);
+    lastPart = 1.0 / instances;
+    tokens = capacity(lastPart);
+    updatedAt = nowNanoseconds;
+  }
+
+  /** Takes a request; returns the time until one can be admitted, zero if this one was. */
+  Duration take(CallerOrganisation organisation, int instances, long nowNanoseconds) {
+    demand.add(nowNanoseconds);
+    adopt(organisation);
+    double part = part(instances, nowNanoseconds);
+    double perSecond = limitPerSecond * part;
+    double elapsed = Math.max(0, nowNanoseconds - updatedAt) / NANOSECONDS_PER_SECOND;
+    tokens = Math.min(capacity(part), tokens + elapsed * perSecond);
+    updatedAt = nowNanoseconds;
+    if (tokens - 1 >= -debt(nowNanoseconds)) {
+      tokens -= 1;
+      return Duration.ZERO;
+    }
+    double wait = (1 - tokens) / perSecond * NANOSECONDS_PER_SECOND;
+    return Duration.ofNanos(Math.max(1, (long) wait));
+  }
+
+  /** Returns the requests a second that the organisation asks of this instance. */
+  double demand(long nowNanoseconds) {
+    return demand.count(nowNanoseconds)
+        * NANOSECONDS_PER_SECOND
+        / (DEMAND_WINDOW_NANOSECONDS * (1 + 1.0 / DEMAND_BUCKETS));
+  }
+
+  /**
+   * The collector tells the demand of the whole fleet.
+   *
+   * @param reportedHere what this instance had reported of itself
+   */
+  void digested(double reportedHere, double wholeFleet, long nowNanoseconds) {
+    reported = reportedHere;
+    fleet = Math.max(reportedHere, wholeFleet);
+    digestAt = nowNanoseconds;
+    digested = true;
+  }
+
+  private void adopt(CallerOrganisation organisation) {
+    limitPerSecond = organisation.requestsPerSecond() * (1 + SAFETY * bounds.rateOverage());
+    limitBurst = SAFETY * (organisation.burst() * (1 + bounds.rateOverage()) + bounds.rateMargin());
   }
 
-  boolean fits(CallerOrganisation organisation, int present) {
-    return organisation.requestsPerSecond() == requestsPerSecond
-        && organisation.burst() == burst
-        && present == instances;
+  private double debt(long nowNanoseconds) {
+    boolean calm = informed(nowNanoseconds) && fleet <= CALM_PART * SAFETY * limitPerSecond;
+    return calm ? CALM_DEBT + reported : 0;
   }
 
-  /** Returns a share with the same part of its tokens under another limit. */
-  RateShare changed(
-      CallerOrganisation organisation, FleetBounds bounds, int present, long nowNanoseconds) {
-    double capacity =
-        Math.max(
-            1, SAFETY * (burst * (1 + bounds.rateOverage()) + bounds.rateMargin()) / instances);
-    double part = Math.min(1, bucket.available(nowNanoseconds) / capacity);
-    return new RateShare(organisation, bounds, present, part, nowNanoseconds);
+  private boolean informed(long nowNanoseconds) {
+    return digested && nowNanoseconds - digestAt <= DIGEST_LIFETIME_NANOSECONDS;
   }
 
-  boolean tryTake(long nowNanoseconds) {
-    return bucket.tryTake(1, nowNanoseconds);
+  private double part(int instances, long nowNanoseconds) {
+    double equal = 1.0 / instances;
+    if (!informed(nowNanoseconds)) {
+      return Math.min(equal, lastPart);
+    }
+    double limit = SAFETY * limitPerSecond;
+    double part =
+        fleet <= limit
+            ? (reported + (limit - fleet) * equal) / limit
+            : (1 - EQUAL_PART) * reported / fleet + EQUAL_PART * equal;
+    lastPart = part;
+    return part;
   }
 
-  /** Returns the time until a request can be admitted. */
-  Duration timeUntilNext(long nowNanoseconds) {
-    double missing = Math.max(0, 1 - bucket.available(nowNanoseconds));
-    return Duration.ofNanos((long) (missing / tokensPerSecond * NANOSECONDS_PER_SECOND));
+  /** Returns the most tokens: at least one, since requests can't be divided. */
+  private double capacity(double part) {
+    return Math.max(1, limitBurst * part);
   }
 }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -182,6 +182,30 @@
     return others.isEmpty() ? List.of(self) : others;
   }
 
+  /** Returns the requests a second that organisations ask of this instance. */
+  public synchronized Map<String, Double> demand(long nowNanoseconds) {
+    Map<String, Double> demand = new HashMap<>();
+    rates.forEach(
+        (organisation, share) -> {
+          double rate = share.demand(nowNanoseconds);
+          if (rate > 0) {
+            demand.put(organisation, rate);
+          }
+        });
+    return demand;
+  }
+
+  /** Takes over what organisations ask of the whole fleet. */
+  public synchronized void demandKnown(
+      Map<String, Double> reported, Map<String, Double> fleet, long nowNanoseconds) {
+    rates.forEach(
+        (organisation, share) ->
+            share.digested(
+                reported.getOrDefault(organisation, 0.0),
+                fleet.getOrDefault(organisation, 0.0),
+                nowNanoseconds));
+  }
+
   /** Returns the part of the fleet's bounds that this instance has, as a number of instances. */
   public synchronized int instances() {
     return instances;
@@ -289,13 +313,8 @@
     RateShare share =
         rates.computeIfAbsent(
             organisation.name(),
-            unused -> RateShare.full(organisation, bounds, instances, nowNanoseconds));
-    if (!share.fits(organisation, instances)) {
-      share = share.changed(organisation, bounds, instances, nowNanoseconds);
-      rates.put(organisation.name(), share);
-    }
-    return share.tryTake(nowNanoseconds)
-        ? Optional.empty()
-        : Optional.of(share.timeUntilNext(nowNanoseconds));
+            unused -> new RateShare(organisation, bounds, instances, nowNanoseconds));
+    Duration wait = share.take(organisation, instances, nowNanoseconds);
+    return wait.isZero() ? Optional.empty() : Optional.of(wait);
   }
 }
--- a/weirlib/src/main/java/org/corianderweir/protocol/PeerMessage.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/PeerMessage.java
@@ -1,4 +1,5 @@
 package org.corianderweir.protocol;
 
 /** A message between two entry instances. */
-public sealed interface PeerMessage permits MembershipMessage, ConfigurationMessage, LimitMessage {}
+public sealed interface PeerMessage
+    permits MembershipMessage, ConfigurationMessage, LimitMessage, FleetMessage {}
--- a/weirlib/src/main/java/org/corianderweir/protocol/PeerMessageCodec.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/PeerMessageCodec.java
@@ -23,6 +23,7 @@
         case MembershipMessage membership -> MembershipCodec.pack(packer, membership);
         case ConfigurationMessage configuration -> ConfigurationCodec.pack(packer, configuration);
         case LimitMessage limit -> LimitMessageCodec.pack(packer, limit);
+        case FleetMessage fleet -> FleetMessageCodec.pack(packer, fleet);
       }
       return packer.toByteArray();
     } catch (IOException impossible) {
@@ -56,6 +57,10 @@
     if (membership.isPresent()) {
       return membership.get();
     }
+    Optional<PeerMessage> fleet = FleetMessageCodec.unpack(type, unpacker);
+    if (fleet.isPresent()) {
+      return fleet.get();
+    }
     return ConfigurationCodec.unpack(type, unpacker)
         .orElseThrow(() -> new WeirException(ErrorCode.FRAME_INVALID, "unknown type " + type));
   }
--- /dev/null
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/RateShareTest.java
@@ -0,0 +1,143 @@
+package org.corianderweir.logic.traffic;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.corianderweir.model.traffic.CallerOrganisation;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link RateShare} on a fleet whose instances hear of each other half a second late. */
+public class RateShareTest {
+  private static final long SEED = 5L;
+  private static final int INSTANCES = 18;
+  private static final long MILLISECOND = Duration.ofMillis(1).toNanos();
+  private static final int DIGEST_MILLISECONDS = 250;
+  private static final int LATE_DIGESTS = 2;
+  private static final int WINDOW_MILLISECONDS = 5_000;
+  private static final FleetBounds BOUNDS =
+      new FleetBounds(0.2, 100, Duration.ofSeconds(10), 0.1, 20);
+
+  private final Random random = new Random(SEED);
+
+  @DataProvider
+  public Object[][] limits() {
+    return new Object[][] {{8.0}, {17.0}, {40.0}, {160.0}, {800.0}};
+  }
+
+  @Test(dataProvider = "limits")
+  public void demandBelowTheLimitIsAdmitted(double limit) {
+    Fleet fleet = new Fleet(limit);
+    fleet.run(5_000, limit / 1.6);
+    int before = fleet.refused;
+    fleet.run(20_000, limit / 1.6);
+    double share = (fleet.refused - before) / (20 * limit / 1.6);
+    assertTrue(share < 0.01, "refused " + share);
+  }
+
+  /** An organisation suddenly asks for several times its usual rate, or its limit is lowered. */
+  @Test(dataProvider = "limits")
+  public void aSurgeStaysWithinTheBound(double limit) {
+    Fleet fleet = new Fleet(limit);
+    fleet.run(6_000, limit / 1.6);
+    fleet.run(6_000, 7.5 * limit / 1.6);
+    fleet.run(4_000, limit / 1.6);
+    fleet.run(6_000, 7.5 * limit / 1.6);
+    double bound = (limit * 5 + limit) * 1.1 + 20;
+    assertTrue(fleet.worstWindow() <= bound, fleet.worstWindow() + " of " + bound);
+  }
+
+  @Test
+  public void oneThatHearsNothingKeepsToAnEqualPart() {
+    CallerOrganisation organisation = TrafficFixture.organisation(180, 180, Set.of());
+    RateShare share = new RateShare(organisation, BOUNDS, INSTANCES, 0);
+    int admitted = 0;
+    for (int number = 0; number < 10_000; number++) {
+      if (share.take(organisation, INSTANCES, number * MILLISECOND).isZero()) {
+        admitted++;
+      }
+    }
+    double most = (10 * 180 * 1.1 + 180 * 1.1 + 20) / INSTANCES;
+    assertTrue(admitted <= most, admitted + " of " + most);
+  }
+
+  @Test
+  public void aRefusalSaysWhenToComeBack() {
+    CallerOrganisation organisation = TrafficFixture.organisation(18, 1, Set.of());
+    RateShare share = new RateShare(organisation, BOUNDS, INSTANCES, 0);
+    Duration wait = Duration.ZERO;
+    while (wait.isZero()) {
+      wait = share.take(organisation, INSTANCES, 0);
+    }
+    assertEquals(share.take(organisation, INSTANCES, wait.toNanos() + 1), Duration.ZERO);
+  }
+
+  /** Instances with uneven traffic and a collector whose digests are late. */
+  private final class Fleet {
+    private final CallerOrganisation organisation;
+    private final List<RateShare> shares = new ArrayList<>();
+    private final List<List<Double>> late = new ArrayList<>();
+    private final List<Integer> admittedByMillisecond = new ArrayList<>();
+    private int now;
+    private int refused;
+
+    Fleet(double limit) {
+      organisation = TrafficFixture.organisation(limit, limit, Set.of());
+      for (int number = 0; number < INSTANCES; number++) {
+        shares.add(new RateShare(organisation, BOUNDS, INSTANCES, 0));
+      }
+    }
+
+    void run(int milliseconds, double perSecond) {
+      for (int step = 0; step < milliseconds; step++) {
+        int admitted = 0;
+        double left = perSecond / 1_000;
+        while (random.nextDouble() < left || left >= 1) {
+          left -= 1;
+          // The square makes the first instances several times busier than the last ones.
+          double place = random.nextDouble();
+          int instance = (int) (INSTANCES * place * place);
+          boolean taken =
+              shares.get(instance).take(organisation, INSTANCES, now * MILLISECOND).isZero();
+          admitted += taken ? 1 : 0;
+          refused += taken ? 0 : 1;
+        }
+        admittedByMillisecond.add(admitted);
+        now++;
+        if (now % DIGEST_MILLISECONDS == 0) {
+          digest();
+        }
+      }
+    }
+
+    int worstWindow() {
+      int worst = 0;
+      int sum = 0;
+      for (int index = 0; index < admittedByMillisecond.size(); index++) {
+        sum += admittedByMillisecond.get(index);
+        if (index >= WINDOW_MILLISECONDS) {
+          sum -= admittedByMillisecond.get(index - WINDOW_MILLISECONDS);
+        }
+        worst = Math.max(worst, sum);
+      }
+      return worst;
+    }
+
+    private void digest() {
+      late.add(shares.stream().map(share -> share.demand(now * MILLISECOND)).toList());
+      if (late.size() <= LATE_DIGESTS) {
+        return;
+      }
+      List<Double> told = late.remove(0);
+      double fleet = told.stream().mapToDouble(Double::doubleValue).sum();
+      for (int number = 0; number < INSTANCES; number++) {
+        shares.get(number).digested(told.get(number), fleet, now * MILLISECOND);
+      }
+    }
+  }
+}
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficFixture.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficFixture.java
@@ -86,7 +86,12 @@
     Map<String, ServerEntry> byIdentifier = new HashMap<>();
     servers.forEach(server -> byIdentifier.put(server.identifier(), server));
     return new FleetView(
-        Optional.of(new TrafficIndex(configuration(1, routes))), byIdentifier, zones, members, 1);
+        Optional.of(new TrafficIndex(configuration(1, routes))),
+        byIdentifier,
+        zones,
+        members,
+        Optional.empty(),
+        1);
   }
 
   static List<ServerEntry> servers(String zone, int count) {
