--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/AsyncLineHandler.java
@@ -0,0 +1,78 @@
+package org.corianderweir.daemon;
+
+import java.io.PrintStream;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+
+/**
+ * Writes log lines on a thread of its own. A line that finds the queue full is left out, and the
+ * next line that is written says how many were; nobody ever waits for the log.
+ */
+final class AsyncLineHandler extends Handler {
+  private static final int QUEUE_LINES = 4096;
+
+  private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+  private final AtomicLong leftOut = new AtomicLong();
+  private final PrintStream output;
+
+  AsyncLineHandler(PrintStream output, Formatter formatter) {
+    this.output = output;
+    setFormatter(formatter);
+    Thread writer = new Thread(this::write, "log");
+    writer.setDaemon(true);
+    writer.start();
+  }
+
+  @Override
+  public void publish(LogRecord record) {
+    if (isLoggable(record) && !queue.offer(getFormatter().format(record))) {
+      leftOut.incrementAndGet();
+    }
+  }
+
+  /** Waits for nothing: the writer writes what is in the queue. */
+  @Override
+  public void flush() {
+    output.flush();
+  }
+
+  @Override
+  public void close() {
+    StringBuilder rest = new StringBuilder();
+    String line = queue.poll();
+    while (line != null) {
+      rest.append(line);
+      line = queue.poll();
+    }
+    output.print(rest);
+    output.flush();
+  }
+
+  private void write() {
+    StringBuilder lines = new StringBuilder();
+    try {
+      while (true) {
+        lines.append(queue.take());
+        String next = queue.poll();
+        while (next != null) {
+          lines.append(next);
+          next = queue.poll();
+        }
+        long missing = leftOut.getAndSet(0);
+        if (missing > 0) {
+          lines.append("level=WARN event=WEIR-1006 title=\"Log lines left out\" lines=");
+          lines.append(missing).append(System.lineSeparator());
+        }
+        output.print(lines);
+        output.flush();
+        lines.setLength(0);
+      }
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/DaemonMain.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/DaemonMain.java
@@ -82,7 +82,11 @@
       return 0;
     }
     try {
-      LogSetup.configure();
+      if (platform) {
+        LogSetup.configureStructured();
+      } else {
+        LogSetup.configure();
+      }
       daemon.run();
       return 0;
     } catch (WeirException failure) {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/LogSetup.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/LogSetup.java
@@ -2,12 +2,17 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.util.logging.Level;
 import java.util.logging.LogManager;
+import java.util.logging.Logger;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
 
-/** Sends the log to the standard error stream, one line an event. */
+/** Sets up where the log goes, one line an event. */
 final class LogSetup {
+  /** Kept, since a logger that nobody refers to forgets its level. */
+  private static final Logger PROJECT = Logger.getLogger("org.corianderweir");
+
   private LogSetup() {}
 
   static void configure() {
@@ -17,4 +22,13 @@
       throw new WeirException(ErrorCode.SETTINGS_INVALID, "can't set up the log", failure);
     }
   }
+
+  /** Sends the log with its decisions about requests to the standard output. */
+  static void configureStructured() {
+    LogManager.getLogManager().reset();
+    Logger root = Logger.getLogger("");
+    root.addHandler(new AsyncLineHandler(System.out, new LogfmtFormatter()));
+    root.setLevel(Level.WARNING);
+    PROJECT.setLevel(Level.FINE);
+  }
 }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/control/EventLog.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/control/EventLog.java
@@ -34,7 +34,7 @@
     TimelineEvent event = ring.record(code, subject, detail, time.wallMilliseconds());
     LOGGER.logf(
         level(code),
-        "WEIR-%04d %s: subject=%s process=%s %s",
+        "event=WEIR-%04d title=\"%s\" subject=%s process=%s %s",
         code.number(),
         code.title(),
         subject,
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
@@ -31,6 +31,8 @@
   /** Servers that reach the store write lapsed entries again within this time of its return. */
   private static final Duration CATCH_UP = Duration.ofMillis(2_300);
 
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final MetricsEndpoint metricsEndpoint;
   private final FleetMember self;
   private final EventLog events;
   private final ControlLoop loop;
@@ -60,17 +62,23 @@
         new HttpClient(
             new HttpClientOptions(
                 "store", STORE_CONNECT_TIMEOUT, STORE_IDLE_LIFETIME, STORE_ANSWER_LIMIT_BYTES));
-    store = new HttpMetadataStore(storeClient, settings.store(), STORE_TIMEOUT, () -> {});
+    store =
+        new HttpMetadataStore(
+            storeClient, settings.store(), STORE_TIMEOUT, metrics.meter("store.calls")::mark);
     follower =
         new StoreFollower(store, loop, events, time, new FleetFacts(schema, CATCH_UP), this::apply);
     registration = new MemberRegistration(store, schema, loop, events, self);
     director = new TrafficDirector(self, settings.place(), settings.bounds());
-    entry = new EntryService(settings, director, PlatformHeaders.NAMES, time);
+    metricsEndpoint = new MetricsEndpoint(self.host(), settings.metricsPort(), metrics);
+    entry =
+        new EntryService(
+            settings, director, PlatformHeaders.NAMES, new RequestLog(events, metrics), time);
   }
 
   /** Starts all parts. */
   public void start() {
     storeClient.start();
+    metricsEndpoint.start();
     entry.start();
     follower.start();
     record(EventCode.INSTANCE_STARTED);
@@ -82,6 +90,7 @@
     entry.leave();
     follower.stop();
     kernel.stop();
+    metricsEndpoint.stop();
     loop.stop();
     storeClient.stop();
   }
@@ -119,7 +128,7 @@
             self.callerPort(),
             self.peerPort());
     PeerTransport transport =
-        new PeerTransport(instance, self.incarnation(), secret, events, new MetricRegistry(), time);
+        new PeerTransport(instance, self.incarnation(), secret, events, metrics, time);
     kernel.register(EventLog.NAME, events).register(PeerTransport.NAME, transport);
     kernel.start();
     DemandExchange started = new DemandExchange(self, director, transport, loop, time);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
@@ -18,6 +18,7 @@
 import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.traffic.Admission;
 import org.corianderweir.logic.traffic.FleetView;
+import org.corianderweir.logic.traffic.RequestFacts;
 import org.corianderweir.logic.traffic.TrafficDirector;
 import org.corianderweir.model.traffic.FleetMember;
 import org.corianderweir.model.traffic.HeaderNames;
@@ -52,6 +53,7 @@
   private final EntrySettings settings;
   private final TrafficDirector director;
   private final ServerMessages messages;
+  private final RequestLog log;
   private final HttpClient client;
   private final TimeSource time;
   private final List<HttpListener> controlListeners;
@@ -61,9 +63,14 @@
   private volatile boolean leaving;
 
   EntryService(
-      EntrySettings settings, TrafficDirector director, HeaderNames names, TimeSource time) {
+      EntrySettings settings,
+      TrafficDirector director,
+      HeaderNames names,
+      RequestLog log,
+      TimeSource time) {
     this.settings = settings;
     this.director = director;
+    this.log = log;
     this.messages = new ServerMessages(names);
     this.time = time;
     client =
@@ -87,6 +94,7 @@
   /** Takes over what is known of the fleet. */
   void apply(FleetView view) {
     director.apply(view, time.monotonicNanoseconds());
+    log.fleetChanged(view);
     ready = view.index().isPresent();
   }
 
@@ -146,19 +154,25 @@
   }
 
   private CompletableFuture<HttpReply> request(HttpCall call) {
-    Admission admission = director.admit(messages.facts(call), time.monotonicNanoseconds());
+    RequestFacts facts = messages.facts(call);
+    Admission admission = director.admit(facts, time.monotonicNanoseconds());
     return switch (admission) {
-      case Admission.Rejected rejected ->
-          CompletableFuture.completedFuture(
-              closing(CallerReplies.refusal(rejected.reason(), rejected.comeBackAfter())));
+      case Admission.Rejected rejected -> reject(facts, rejected);
       case Admission.Admitted admitted -> forward(call, admitted);
     };
   }
 
+  private CompletableFuture<HttpReply> reject(RequestFacts facts, Admission.Rejected rejected) {
+    HttpReply reply = CallerReplies.refusal(rejected.reason(), rejected.comeBackAfter());
+    log.rejected(facts, rejected, reply.status());
+    return CompletableFuture.completedFuture(closing(reply));
+  }
+
   private CompletableFuture<HttpReply> forward(HttpCall call, Admission.Admitted admitted) {
     underway.incrementAndGet();
     CompletableFuture<HttpReply> answer =
-        new ForwardedRequest(call, admitted.plan(), director, client, messages, this::closing, time)
+        new ForwardedRequest(
+                call, admitted.plan(), director, client, messages, this::closing, log, time)
             .start();
     answer.whenComplete((reply, failure) -> underway.decrementAndGet());
     return answer;
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ForwardedRequest.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ForwardedRequest.java
@@ -31,6 +31,7 @@
   private final HttpClient client;
   private final ServerMessages messages;
   private final UnaryOperator<HttpReply> lastTouch;
+  private final RequestLog log;
   private final TimeSource time;
   private final CompletableFuture<HttpReply> answer = new CompletableFuture<>();
   private @Nullable CompletableFuture<HttpReply> exchange;
@@ -43,6 +44,7 @@
       HttpClient client,
       ServerMessages messages,
       UnaryOperator<HttpReply> lastTouch,
+      RequestLog log,
       TimeSource time) {
     this.call = call;
     this.plan = plan;
@@ -50,6 +52,7 @@
     this.client = client;
     this.messages = messages;
     this.lastTouch = lastTouch;
+    this.log = log;
     this.time = time;
   }
 
@@ -87,6 +90,7 @@
   }
 
   private void finish(HttpReply reply) {
+    log.ended(plan, reply.status(), time.monotonicNanoseconds());
     answer.complete(lastTouch.apply(reply));
   }
 
@@ -113,7 +117,9 @@
     SendOutcome outcome = reply != null ? messages.outcome(reply) : outcome(failure);
     long now = time.monotonicNanoseconds();
     NextStep next = director.ended(plan, server, outcome, sent, now);
+    log.sendEnded(plan, server, outcome, sent, now);
     if (outcome instanceof SendOutcome.Abandoned) {
+      log.abandoned(plan, now);
       return;
     }
     step(next, reply);
--- /dev/null
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/MetricsEndpoint.java
@@ -0,0 +1,80 @@
+package org.corianderweir.daemon.entry;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import com.codahale.metrics.Timer;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.corianderweir.http.HttpCall;
+import org.corianderweir.http.HttpHeaders;
+import org.corianderweir.http.HttpListener;
+import org.corianderweir.http.HttpListenerOptions;
+import org.corianderweir.http.HttpReply;
+
+/** Serves counters and times as text in the format that Prometheus reads. */
+final class MetricsEndpoint {
+  private static final String PATH = "/metrics";
+  private static final int STATUS_OK = 200;
+  private static final int STATUS_NOT_FOUND = 404;
+  private static final double[] QUANTILES = {0.5, 0.9, 0.99};
+  private static final double NANOSECONDS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+  private final MetricRegistry metrics;
+  private final HttpListener listener;
+
+  MetricsEndpoint(String host, int port, MetricRegistry metrics) {
+    this.metrics = metrics;
+    listener = new HttpListener(new HttpListenerOptions("metrics", host, port, 0, 1), this::answer);
+  }
+
+  void start() {
+    listener.start();
+  }
+
+  void stop() {
+    listener.stop(0);
+  }
+
+  /** Returns all metrics as text. */
+  String text() {
+    StringBuilder text = new StringBuilder();
+    for (Map.Entry<String, Counter> counter : metrics.getCounters().entrySet()) {
+      append(text, name(counter.getKey()) + "_total", counter.getValue().getCount());
+    }
+    for (Map.Entry<String, Meter> meter : metrics.getMeters().entrySet()) {
+      append(text, name(meter.getKey()) + "_total", meter.getValue().getCount());
+    }
+    for (Map.Entry<String, Timer> timer : metrics.getTimers().entrySet()) {
+      String name = name(timer.getKey()) + "_seconds";
+      Snapshot snapshot = timer.getValue().getSnapshot();
+      for (double quantile : QUANTILES) {
+        double seconds = snapshot.getValue(quantile) / NANOSECONDS_PER_SECOND;
+        append(text, name + "{quantile=\"" + quantile + "\"}", seconds);
+      }
+      append(text, name + "_count", timer.getValue().getCount());
+    }
+    return text.toString();
+  }
+
+  private CompletableFuture<HttpReply> answer(HttpCall call) {
+    boolean known = call.path().equals(PATH);
+    return CompletableFuture.completedFuture(
+        new HttpReply(
+            known ? STATUS_OK : STATUS_NOT_FOUND,
+            HttpHeaders.NONE.with("Content-Type", "text/plain; version=0.0.4"),
+            known ? text().getBytes(StandardCharsets.UTF_8) : new byte[0]));
+  }
+
+  private static String name(String metric) {
+    return "corianderweir_" + metric.replaceAll("[^A-Za-z0-9]", "_").toLowerCase(Locale.ROOT);
+  }
+
+  private static void append(StringBuilder text, String name, Number value) {
+    text.append(name).append(' ').append(value).append('\n');
+  }
+}
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerState.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerState.java
@@ -128,19 +128,19 @@
   }
 
   /** Returns the requests that the server is believed to hold, those of other instances too. */
-  double load(long nowNanoseconds) {
+  public double load(long nowNanoseconds) {
     double age = nowNanoseconds - reportedAt;
     double weight = Math.max(0, 1 - age / REPORT_LIFETIME_NANOSECONDS);
     return inFlight + reportedOthers * weight;
   }
 
   /** Returns the part of lately sent requests that failed. */
-  double failures(long nowNanoseconds) {
+  public double failures(long nowNanoseconds) {
     return failures * fading(nowNanoseconds);
   }
 
   /** Returns how many times longer than its service the server takes. */
-  double slowness(long nowNanoseconds) {
+  public double slowness(long nowNanoseconds) {
     return 1 + (slowness - 1) * fading(nowNanoseconds);
   }
 
--- a/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
+++ b/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
@@ -12,6 +12,10 @@
   SETTINGS_INVALID(1004, Severity.ERROR, "Settings are invalid"),
   /** A task of the control thread failed. */
   CONTROL_TASK_FAILED(1005, Severity.ERROR, "Control task failed"),
+  /** Lines of the log were left out because it could not be written fast enough. */
+  LOG_LINES_LEFT_OUT(1006, Severity.WARNING, "Log lines left out"),
+  /** The control thread took over what the store says of servers, zones and members. */
+  FLEET_CHANGED(2201, Severity.INFO, "Fleet changed"),
   /** A configuration revision is in force here. */
   CONFIGURATION_IN_FORCE(2001, Severity.INFO, "Configuration revision in force"),
   /** An operator's change was accepted. */
