--- a/weirdaemon/src/main/java/org/corianderweir/daemon/DaemonMain.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/DaemonMain.java
@@ -96,8 +96,9 @@
   }
 
   private Runnable entryDaemon() {
-    EntrySettings settings = EntrySettingDeclarations.read(new File(settingsFile));
-    return () -> new EntryDaemon(settings, new SystemTimeSource()).run();
+    File file = new File(settingsFile);
+    EntrySettings settings = EntrySettingDeclarations.read(file);
+    return () -> new EntryDaemon(file, settings, new SystemTimeSource()).run();
   }
 
   private Runnable standaloneDaemon() {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/EntryDaemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/EntryDaemon.java
@@ -1,10 +1,14 @@
 package org.corianderweir.daemon;
 
+import java.io.File;
 import java.util.concurrent.CountDownLatch;
 import org.corianderweir.daemon.entry.EntryInstanceServices;
+import org.corianderweir.daemon.settings.EntrySettingDeclarations;
 import org.corianderweir.daemon.settings.EntrySettings;
 import org.corianderweir.kernel.TimeSource;
+import org.corianderweir.model.WeirException;
 import org.corianderweir.model.timeline.EventCode;
+import sun.misc.Signal;
 
 /** An entry instance on the platform, run until a planned stop. */
 final class EntryDaemon {
@@ -12,13 +16,17 @@
   private final CountDownLatch stopRequested = new CountDownLatch(1);
   private final CountDownLatch stopped = new CountDownLatch(1);
 
-  EntryDaemon(EntrySettings settings, TimeSource time) {
+  private final File settingsFile;
+
+  EntryDaemon(File settingsFile, EntrySettings settings, TimeSource time) {
+    this.settingsFile = settingsFile;
     services = new EntryInstanceServices(settings, time);
   }
 
   /** Starts the services and returns after a planned stop. */
   void run() {
     Runtime.getRuntime().addShutdownHook(new Thread(this::stopAndExit, "shutdown"));
+    Signal.handle(new Signal("HUP"), unused -> reload());
     services.start();
     try {
       stopRequested.await();
@@ -32,6 +40,15 @@
     }
   }
 
+  /** Reads the settings again; addresses stay until the next start. */
+  private void reload() {
+    try {
+      services.reload(EntrySettingDeclarations.read(settingsFile));
+    } catch (WeirException invalid) {
+      services.settingsInvalid(String.valueOf(invalid.getMessage()));
+    }
+  }
+
   private void stopAndExit() {
     stopRequested.countDown();
     try {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
@@ -95,6 +95,17 @@
     storeClient.stop();
   }
 
+  /** Takes over bounds that have changed. */
+  public void reload(EntrySettings settings) {
+    director.apply(settings.bounds());
+    record(EventCode.SETTINGS_RELOADED);
+  }
+
+  /** The settings file can't be used; what was read before stays. */
+  public void settingsInvalid(String problem) {
+    events.record(EventCode.SETTINGS_INVALID, self.name(), "problem=\"" + problem + "\"");
+  }
+
   /** Records an event of the whole instance. */
   public void record(EventCode code) {
     events.record(code, self.name(), "incarnation=" + self.incarnation());
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
@@ -32,7 +32,16 @@
   private static final Duration IDLE_LIFETIME = Duration.ofSeconds(4);
 
   private static final int ANSWER_LIMIT_BYTES = 8 * 1024 * 1024;
-  private static final int BODY_LIMIT_BYTES = 64 * 1024 * 1024;
+
+  /** Bodies are held in memory, which is small. */
+  private static final int BODY_LIMIT_BYTES = 16 * 1024 * 1024;
+
+  /** Callers take longer than this only if they don't read. */
+  private static final Duration TRANSFER_LIMIT = Duration.ofSeconds(15);
+
+  /** Part of the descriptors that callers may hold; servers and files need the rest. */
+  private static final double CALLERS_PART = 0.5;
+
   private static final int CONNECTIONS_PER_SERVER = 64;
   private static final int WORKER_THREADS = 1;
   private static final int STATUS_OK = 200;
@@ -78,11 +87,12 @@
             new HttpClientOptions("servers", CONNECT_TIMEOUT, IDLE_LIFETIME, ANSWER_LIMIT_BYTES)
                 .withConnectionsPerAddress(CONNECTIONS_PER_SERVER)
                 .requiringEcho(names.requestIdentifier()));
-    requests = listener("requests", settings.callers(), this::request);
+    int callers = (int) (CALLERS_PART * settings.descriptors());
+    requests = listener("requests", settings.callers(), callers, this::request);
     controlListeners =
         List.of(
-            listener("readiness", settings.readiness(), this::readiness),
-            listener("look-ups", settings.lookups(), this::lookup));
+            listener("readiness", settings.readiness(), callers, this::readiness),
+            listener("look-ups", settings.lookups(), callers, this::lookup));
   }
 
   void start() {
@@ -113,10 +123,12 @@
     client.stop();
   }
 
-  private static HttpListener listener(String name, HttpAddress address, HttpEndpoint endpoint) {
+  private static HttpListener listener(
+      String name, HttpAddress address, int connections, HttpEndpoint endpoint) {
     return new HttpListener(
         new HttpListenerOptions(
-            name, address.host(), address.port(), BODY_LIMIT_BYTES, WORKER_THREADS),
+                name, address.host(), address.port(), BODY_LIMIT_BYTES, WORKER_THREADS)
+            .bounded(connections, connections, TRANSFER_LIMIT),
         endpoint);
   }
 
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreFollower.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreFollower.java
@@ -24,7 +24,7 @@
   private static final Duration PATIENCE = Duration.ofMillis(1_500);
 
   /** Changes within this time are fetched with one call. */
-  private static final Duration PAUSE = Duration.ofMillis(250);
+  private static final Duration PAUSE = Duration.ofMillis(400);
 
   private static final Duration FIRST_RETRY = Duration.ofMillis(200);
   private static final Duration LONGEST_RETRY = Duration.ofMillis(800);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettingDeclarations.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettingDeclarations.java
@@ -13,6 +13,7 @@
   private static final int PORT_MAXIMUM = 65_535;
   private static final int DAY_SECONDS = 86_400;
   private static final int DAY_MILLISECONDS = DAY_SECONDS * 1000;
+  private static final int DESCRIPTORS_MINIMUM = 256;
   private static final double MARGIN_MAXIMUM = 1e9;
   private static final ValueKind<HttpAddress> ADDRESS = new ValueKind.SocketAddress();
   private static final ValueKind<Integer> PORT = new ValueKind.WholeNumber(1, PORT_MAXIMUM);
@@ -82,6 +83,13 @@
           MARGIN,
           "requests in a window by which an organisation may exceed its limit");
 
+  private static final Setting<Integer> DESCRIPTORS =
+      Setting.required(
+          "limits",
+          "descriptors",
+          new ValueKind.WholeNumber(DESCRIPTORS_MINIMUM, Integer.MAX_VALUE),
+          "sockets and files that the process may open");
+
   private EntrySettingDeclarations() {}
 
   /** Returns the declarations in the order of the documentation. */
@@ -99,6 +107,7 @@
         METRICS_PORT,
         STORE,
         HEARTBEAT,
+        DESCRIPTORS,
         STOP_LIMIT,
         RETRY_RATIO,
         RETRY_MARGIN,
@@ -127,6 +136,7 @@
         Duration.ofSeconds(file.value(LOOKUP_LIFETIME)),
         Duration.ofSeconds(file.value(STOP_LIMIT)),
         file.value(HEARTBEAT),
+        file.value(DESCRIPTORS),
         new FleetBounds(
             file.value(RETRY_RATIO),
             file.value(RETRY_MARGIN),
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettings.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettings.java
@@ -21,6 +21,7 @@
  * @param lookupLifetime how long callers may cache the answer to a look-up
  * @param stopLimit longest time of a planned stop
  * @param heartbeat time between two reports of a backend server
+ * @param descriptors sockets and files that the process may open
  * @param bounds bounds over all instances
  */
 public record EntrySettings(
@@ -35,6 +36,7 @@
     Duration lookupLifetime,
     Duration stopLimit,
     Duration heartbeat,
+    int descriptors,
     FleetBounds bounds) {
   /** Returns this instance as the others see it. */
   public FleetMember member(long incarnation) {
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -33,7 +33,7 @@
   private static final Duration INSTANCES_MEMORY = Duration.ofSeconds(30);
 
   private final FleetMember self;
-  private final FleetBounds bounds;
+  private FleetBounds bounds;
   private final ServerPool servers;
   private final PaceTable paces = new PaceTable();
   private final WeightedTurns turns = new WeightedTurns();
@@ -61,6 +61,15 @@
     }
   }
 
+  /** Takes over other bounds; what was counted under the former ones is forgotten. */
+  public synchronized void apply(FleetBounds newer) {
+    if (!newer.equals(bounds)) {
+      bounds = newer;
+      retries.clear();
+      rates.clear();
+    }
+  }
+
   /** Decides whether a request is taken on. */
   public synchronized Admission admit(RequestFacts facts, long nowNanoseconds) {
     if (view.index().isEmpty()) {
--- a/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
+++ b/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
@@ -14,6 +14,8 @@
   CONTROL_TASK_FAILED(1005, Severity.ERROR, "Control task failed"),
   /** Lines of the log were left out because it could not be written fast enough. */
   LOG_LINES_LEFT_OUT(1006, Severity.WARNING, "Log lines left out"),
+  /** The settings were read again. */
+  SETTINGS_RELOADED(1007, Severity.INFO, "Settings read again"),
   /** The control thread took over what the store says of servers, zones and members. */
   FLEET_CHANGED(2201, Severity.INFO, "Fleet changed"),
   /** A configuration revision is in force here. */
