--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/metadata/StoreState.java
@@ -0,0 +1,89 @@
+package org.corianderweir.bench.metadata;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** The items, history and leases of the stand-in. Not thread-safe. */
+final class StoreState {
+  private final TreeMap<String, Item> items = new TreeMap<>();
+  private final List<Change> history = new ArrayList<>();
+  private final Map<Long, Long> leaseEnds = new HashMap<>();
+  private long revision = 1;
+  private long oldestRevision = 1;
+  private long nextLease = 100;
+
+  record Item(String key, String value, long revision, long lease) {}
+
+  record Change(String key, Optional<Item> item, long revision) {}
+
+  long revision() {
+    return revision;
+  }
+
+  Map<String, Item> items() {
+    return items;
+  }
+
+  boolean remembers(long after) {
+    return after >= oldestRevision - 1;
+  }
+
+  List<Change> since(long after, String prefix) {
+    return history.stream()
+        .filter(change -> change.revision() > after && change.key().startsWith(prefix))
+        .toList();
+  }
+
+  void forgetHistory() {
+    history.clear();
+    oldestRevision = revision + 1;
+  }
+
+  void put(String key, String value, long lease) {
+    revision++;
+    Item item = new Item(key, value, revision, lease);
+    items.put(key, item);
+    history.add(new Change(key, Optional.of(item), revision));
+  }
+
+  void remove(String key) {
+    if (items.remove(key) != null) {
+      revision++;
+      history.add(new Change(key, Optional.empty(), revision));
+    }
+  }
+
+  long acquire(long endMilliseconds) {
+    nextLease++;
+    leaseEnds.put(nextLease, endMilliseconds);
+    return nextLease;
+  }
+
+  boolean renew(long lease, long endMilliseconds) {
+    return leaseEnds.computeIfPresent(lease, (unused, end) -> endMilliseconds) != null;
+  }
+
+  boolean holds(long lease) {
+    return lease == 0 || leaseEnds.containsKey(lease);
+  }
+
+  void end(long lease) {
+    leaseEnds.remove(lease);
+    List<String> keys =
+        items.values().stream().filter(item -> item.lease() == lease).map(Item::key).toList();
+    keys.forEach(this::remove);
+  }
+
+  void endLapsed(long nowMilliseconds) {
+    List<Long> lapsed =
+        leaseEnds.entrySet().stream()
+            .filter(entry -> entry.getValue() <= nowMilliseconds)
+            .map(Map.Entry::getKey)
+            .toList();
+    lapsed.forEach(this::end);
+  }
+}
--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/metadata/StoreTexts.java
@@ -0,0 +1,35 @@
+package org.corianderweir.bench.metadata;
+
+/** Values as operators and servers write them to the store. */
+public final class StoreTexts {
+  private StoreTexts() {}
+
+  /**
+   * Returns a configuration with one service, one organisation with the key {@code key-1} and two
+   * routes of the host {@code rota.example}: {@code /read/} is idempotent, {@code /book/} is not.
+   */
+  public static String configuration(long version, double requestsPerSecond) {
+    return """
+        {"version":%d,"routes":{"columns":["name","host","pathPrefix","kind","timeoutMs",
+        "targetLatencyMs","priority","backends","maxAttempts","public","sticky","allowedRegions",
+        "service"],"rows":[
+        ["read","rota.example","/read/","safe",2000,600,1,null,2,false,true,[],"desk"],
+        ["book","rota.example","/book/","unsafe",2000,600,0,null,2,false,true,[],"desk"]]},
+        "services":{"columns":["name","healthPath","maxConns","protocol","tls","coldStartS",
+        "coldPerS"],"rows":[["desk","/health",660,"h1",false,3.0,9.0]]},
+        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,
+        "idleTimeoutMs":15000},
+        "tenants":{"columns":["name","apiKeys","priority","ratePerS","burst","allowedRegions"],
+        "rows":[["club",["key-1"],1,%s,%s,[]]]}}"""
+        .formatted(version, requestsPerSecond, requestsPerSecond);
+  }
+
+  /** Returns the entry of a server of the service {@code desk}. */
+  public static String server(String address, String zone, String state) {
+    return """
+        {"address":"%s","born":1780000000000,
+        "info":{"service":"desk","version":"v1","zone":"%s","slots":3},
+        "status":{"state":"%s","seq":1,"coldRemainingMs":0}}"""
+        .formatted(address, zone, state);
+  }
+}
--- /dev/null
+++ b/weirbench/src/test/java/org/corianderweir/bench/metadata/EntryInstanceTest.java
@@ -0,0 +1,230 @@
+package org.corianderweir.bench.metadata;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.corianderweir.daemon.SystemTimeSource;
+import org.corianderweir.daemon.entry.EntryInstanceServices;
+import org.corianderweir.daemon.settings.EntrySettings;
+import org.corianderweir.http.HttpAddress;
+import org.corianderweir.http.HttpCall;
+import org.corianderweir.http.HttpClient;
+import org.corianderweir.http.HttpClientOptions;
+import org.corianderweir.http.HttpHeaders;
+import org.corianderweir.http.HttpReply;
+import org.corianderweir.logic.traffic.FleetBounds;
+import org.corianderweir.model.traffic.FleetPlace;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of a whole entry instance between the stand-ins of the store and of servers. */
+public class EntryInstanceTest {
+  private static final String HOST = "127.0.0.1";
+  private static final Duration LONG = Duration.ofSeconds(20);
+  private static final int STATUS_OK = 200;
+  private static final int LIMIT_BYTES = 1024 * 1024;
+
+  private ServerStandIn first;
+  private ServerStandIn second;
+  private EntryInstanceServices instance;
+  private EntrySettings settings;
+  private MetadataStoreStandIn running;
+  private HttpClient caller;
+
+  @BeforeMethod
+  public void start() throws Exception {
+    running = new MetadataStoreStandIn(HOST, 0);
+    running.start();
+    first = new ServerStandIn("server-1", HOST, 0);
+    second = new ServerStandIn("server-2", HOST, 0);
+    first.start();
+    second.start();
+    running.put("op/config", StoreTexts.configuration(1, 1_000));
+    running.put("servers/server-1", entry(first, "ready"));
+    running.put("servers/server-2", entry(second, "ready"));
+    settings =
+        new EntrySettings(
+            "entry-1",
+            new FleetPlace("north-a", "north", Map.of("north-a", "north")),
+            free(),
+            free(),
+            free(),
+            free().port(),
+            free().port(),
+            new HttpAddress(HOST, running.port()),
+            Duration.ofSeconds(5),
+            Duration.ofSeconds(4),
+            Duration.ofMillis(1_500),
+            1_000,
+            new FleetBounds(0.2, 1_000, Duration.ofSeconds(10), 0.1, 20));
+    instance = new EntryInstanceServices(settings, new SystemTimeSource());
+    instance.start();
+    caller = new HttpClient(new HttpClientOptions("caller", LONG, LONG, LIMIT_BYTES));
+    caller.start();
+    await(() -> status(settings.readiness(), "/api/readiness") == STATUS_OK);
+    await(() -> running.keys("corianderweir/members/").size() == 1);
+  }
+
+  @AfterMethod
+  public void stop() throws Exception {
+    caller.stop();
+    instance.leave();
+    first.stop();
+    second.stop();
+    running.stop();
+  }
+
+  @Test
+  public void aRequestIsForwardedWithItsOrganisation() throws Exception {
+    HttpReply reply = request("/read/x", "key-1");
+    assertEquals(reply.status(), STATUS_OK);
+    ServerStandIn server = first.ran().isEmpty() ? second : first;
+    HttpCall ran = server.ran().get(0);
+    assertEquals(ran.headers().first("Tenant").orElse(""), "club");
+    assertTrue(ran.headers().first("X-Api-Key").isEmpty());
+    assertEquals(ran.headers().first("Host").orElse(""), "rota.example");
+    long left = Long.parseLong(ran.headers().first("Deadline-Ms").orElse("0"));
+    assertTrue(left > 0 && left <= 2_000, "time left " + left);
+  }
+
+  @DataProvider
+  public Object[][] faults() {
+    return new Object[][] {
+      {"/read/x", ServerStandIn.Fault.FULL, 503},
+      {"/read/x", ServerStandIn.Fault.OTHER_REQUEST, 502},
+      {"/read/x", ServerStandIn.Fault.UNSIGNED, 502},
+      {"/read/x", ServerStandIn.Fault.SILENT, 504},
+      {"/read/x", ServerStandIn.Fault.FAILS, 500},
+      {"/book/x", ServerStandIn.Fault.FULL, 503},
+      {"/book/x", ServerStandIn.Fault.OTHER_REQUEST, 502},
+      {"/book/x", ServerStandIn.Fault.UNSIGNED, 502},
+      {"/book/x", ServerStandIn.Fault.SILENT, 504},
+      {"/book/x", ServerStandIn.Fault.FAILS, 500}
+    };
+  }
+
+  /** A refusal is true, and what must not run twice is sent once. */
+  @Test(dataProvider = "faults")
+  public void faultsOfServersHaveTrueAnswers(String path, ServerStandIn.Fault fault, int status)
+      throws Exception {
+    first.fault(fault);
+    second.fault(fault);
+    assertEquals(request(path, "key-1").status(), status);
+    int ran = first.ran().size() + second.ran().size();
+    boolean once = path.startsWith("/book") || fault == ServerStandIn.Fault.SILENT;
+    int expected = fault == ServerStandIn.Fault.FULL ? 0 : once ? 1 : 2;
+    assertEquals(ran, expected);
+  }
+
+  @Test
+  public void aKeyThatWasTakenAwayStopsOnOpenConnections() throws Exception {
+    assertEquals(request("/read/x", "key-1").status(), STATUS_OK);
+    running.put("op/config", StoreTexts.configuration(2, 1_000).replace("key-1", "key-2"));
+    await(() -> request("/read/x", "key-1").status() == 401);
+    assertEquals(request("/read/x", "key-2").status(), STATUS_OK);
+  }
+
+  @Test
+  public void anOlderConfigurationIsIgnored() throws Exception {
+    running.put("op/config", StoreTexts.configuration(5, 1_000).replace("/read/", "/list/"));
+    await(() -> request("/list/x", "key-1").status() == STATUS_OK);
+    running.put("op/config", StoreTexts.configuration(4, 1_000));
+    running.put("servers/server-3", "not an entry");
+    running.put("op/evacuate/other-zone", "{}");
+    TimeUnit.MILLISECONDS.sleep(1_000);
+    assertEquals(request("/list/x", "key-1").status(), STATUS_OK);
+    assertEquals(request("/read/x", "key-1").status(), 404);
+  }
+
+  @DataProvider
+  public Object[][] storeFaults() {
+    return new Object[][] {
+      {StoreFault.REFUSES}, {StoreFault.SILENT}, {StoreFault.DEAF_WATCHES}, {StoreFault.NONE}
+    };
+  }
+
+  /** Found by a hunt: a watch that heard nothing any more kept an evacuation from being seen. */
+  @Test(dataProvider = "storeFaults")
+  public void aChangeIsSeenAfterAFaultOfTheStore(StoreFault fault) throws Exception {
+    running.fault(fault);
+    TimeUnit.MILLISECONDS.sleep(2_500);
+    running.put("op/evacuate/north-a", "{}");
+    running.forgetHistory();
+    running.fault(StoreFault.NONE);
+    await(() -> request("/read/x", "key-1").status() == 503);
+  }
+
+  @Test
+  public void aDrainingServerGetsNothing() throws Exception {
+    running.put("servers/server-1", entry(first, "draining"));
+    running.put("servers/server-2", entry(second, "draining"));
+    await(() -> request("/read/x", "key-1").status() == 503);
+  }
+
+  @Test
+  public void lookUpsNameThisInstance() throws Exception {
+    HttpReply reply =
+        caller
+            .exchange(
+                settings.lookups(),
+                HttpCall.of("GET", "/api/resolve?name=rota.example&region=north&zone=north-a"),
+                LONG)
+            .get(20, TimeUnit.SECONDS);
+    assertEquals(reply.bodyText(), "{\"addresses\":[\"" + settings.callers() + "\"],\"ttlS\":2}");
+  }
+
+  private int status(HttpAddress address, String path) {
+    try {
+      return caller
+          .exchange(address, HttpCall.of("GET", path), LONG)
+          .get(20, TimeUnit.SECONDS)
+          .status();
+    } catch (Exception failure) {
+      return 0;
+    }
+  }
+
+  private HttpReply request(String path, String key) {
+    HttpHeaders headers =
+        HttpHeaders.NONE
+            .with("Host", "rota.example")
+            .with("Request-Id", "request-" + System.nanoTime())
+            .with("X-Api-Key", key)
+            .with("Affinity-Key", "7")
+            .with("Deadline-Ms", "4000");
+    try {
+      return caller
+          .exchange(settings.callers(), new HttpCall("GET", path, headers, new byte[0]), LONG)
+          .get(20, TimeUnit.SECONDS);
+    } catch (Exception failure) {
+      throw new AssertionError(failure);
+    }
+  }
+
+  private static String entry(ServerStandIn server, String state) {
+    return StoreTexts.server(HOST + ":" + server.port(), "north-a", state);
+  }
+
+  private static HttpAddress free() throws Exception {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return new HttpAddress(HOST, socket.getLocalPort());
+    }
+  }
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    for (int attempt = 0; attempt < 1_000; attempt++) {
+      if (condition.getAsBoolean()) {
+        return;
+      }
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+    throw new AssertionError("did not happen");
+  }
+}
--- /dev/null
+++ b/weirbench/src/test/java/org/corianderweir/bench/metadata/MetadataStoreContractTest.java
@@ -0,0 +1,139 @@
+package org.corianderweir.bench.metadata;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.corianderweir.http.HttpAddress;
+import org.corianderweir.http.HttpClient;
+import org.corianderweir.http.HttpClientOptions;
+import org.corianderweir.model.ErrorCode;
+import org.corianderweir.model.WeirException;
+import org.corianderweir.model.store.Lease;
+import org.corianderweir.model.store.StoreChange;
+import org.corianderweir.model.store.StorePage;
+import org.corianderweir.model.store.WatchAnswer;
+import org.corianderweir.platform.HttpMetadataStore;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Holds the client of the metadata store and the stand-in to the same contract. */
+public class MetadataStoreContractTest {
+  private static final String HOST = "127.0.0.1";
+  private static final Duration LONG = Duration.ofSeconds(20);
+  private static final Duration SHORT = Duration.ofMillis(200);
+  private static final int LIMIT_BYTES = 16 * 1024 * 1024;
+
+  private MetadataStoreStandIn standIn;
+  private HttpClient client;
+  private HttpMetadataStore store;
+
+  @BeforeMethod
+  public void start() {
+    standIn = new MetadataStoreStandIn(HOST, 0);
+    standIn.start();
+    client = new HttpClient(new HttpClientOptions("test", LONG, LONG, LIMIT_BYTES));
+    client.start();
+    store = storeWithTimeout(LONG);
+  }
+
+  @AfterMethod
+  public void stop() {
+    client.stop();
+    standIn.stop();
+  }
+
+  @Test
+  public void pagesGoOnAfterTheLastKey() throws Exception {
+    for (int number = 0; number < 1_100; number++) {
+      standIn.put("a/%04d".formatted(number), "x");
+    }
+    List<Integer> sizes = new ArrayList<>();
+    Optional<String> after = Optional.empty();
+    StorePage page;
+    do {
+      page = get(store.list("a/", after));
+      sizes.add(page.items().size());
+      after = Optional.of(page.items().get(page.items().size() - 1).key());
+    } while (page.more());
+    assertEquals(sizes, List.of(500, 500, 100));
+  }
+
+  @Test
+  public void aWatchTellsWritesAndRemovalsInOrder() throws Exception {
+    long revision = get(store.list("", Optional.empty())).revision();
+    standIn.put("a/1", "x");
+    standIn.remove("a/1");
+    WatchAnswer.Changes changes =
+        (WatchAnswer.Changes) get(store.watch("", revision, Duration.ofSeconds(10)));
+    assertEquals(changes.changes().size(), 2);
+    assertTrue(changes.changes().get(0) instanceof StoreChange.Written);
+    assertEquals(changes.changes().get(1), new StoreChange.Removed("a/1", revision + 2));
+    assertEquals(changes.revision(), revision + 2);
+  }
+
+  @Test
+  public void droppedHistoryIsTold() throws Exception {
+    long revision = get(store.list("", Optional.empty())).revision();
+    standIn.put("a/1", "x");
+    standIn.forgetHistory();
+    assertEquals(
+        get(store.watch("", revision, Duration.ofSeconds(10))), new WatchAnswer.HistoryDropped());
+  }
+
+  @Test
+  public void keysEndWithTheirLease() throws Exception {
+    Lease lease = get(store.acquireLease(Duration.ofSeconds(60)));
+    assertTrue(get(store.write("a/1", "x".getBytes(StandardCharsets.UTF_8), lease.identifier())));
+    assertTrue(get(store.renewLease(lease.identifier())));
+    get(store.endLease(lease.identifier()));
+    assertEquals(standIn.keys("a/"), List.of());
+    assertFalse(get(store.renewLease(lease.identifier())));
+    assertFalse(get(store.write("a/1", new byte[0], lease.identifier())));
+  }
+
+  @Test
+  public void aKeyIsCreatedOnce() throws Exception {
+    assertTrue(get(store.create("a/1", "x".getBytes(StandardCharsets.UTF_8))));
+    assertFalse(get(store.create("a/1", "y".getBytes(StandardCharsets.UTF_8))));
+  }
+
+  @DataProvider
+  public Object[][] faults() {
+    return new Object[][] {
+      {StoreFault.REFUSES, ErrorCode.PLATFORM_UNAVAILABLE},
+      {StoreFault.SILENT, ErrorCode.DEADLINE_EXCEEDED},
+      {StoreFault.LOSES_ANSWERS, ErrorCode.DEADLINE_EXCEEDED}
+    };
+  }
+
+  @Test(dataProvider = "faults")
+  public void failuresHaveCodes(StoreFault fault, ErrorCode code) throws Exception {
+    standIn.fault(fault);
+    try {
+      get(storeWithTimeout(SHORT).create("a/1", new byte[0]));
+      throw new AssertionError("an answer");
+    } catch (ExecutionException failure) {
+      assertEquals(((WeirException) WeirException.unwrap(failure.getCause())).code(), code);
+    }
+  }
+
+  private HttpMetadataStore storeWithTimeout(Duration timeout) {
+    HttpAddress address = new HttpAddress(HOST, standIn.port());
+    return new HttpMetadataStore(client, address, timeout, () -> {});
+  }
+
+  private static <T> T get(CompletableFuture<T> future) throws Exception {
+    return future.get(20, TimeUnit.SECONDS);
+  }
+}
--- /dev/null
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/FleetFactsTest.java
@@ -0,0 +1,158 @@
+package org.corianderweir.logic.traffic;
+
+import static org.testng.Assert.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.corianderweir.logic.platform.StoreFact;
+import org.corianderweir.logic.platform.StoreSchema;
+import org.corianderweir.model.store.StoreChange;
+import org.corianderweir.model.store.StoreItem;
+import org.corianderweir.model.traffic.FleetMember;
+import org.corianderweir.model.traffic.ServerEntry;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link FleetFacts}. */
+public class FleetFactsTest {
+  private static final long NOW = TrafficFixture.NOW;
+  private static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+  private FleetFacts facts;
+
+  @BeforeMethod
+  public void begin() {
+    facts = new FleetFacts(new Schema(), Duration.ofSeconds(2));
+  }
+
+  /** Keys begin with the kind; a server's value is its start, a configuration's its version. */
+  private static final class Schema implements StoreSchema {
+    @Override
+    public StoreFact decode(String key, byte[] value) {
+      String text = new String(value, StandardCharsets.UTF_8);
+      if (text.equals("?")) {
+        return new StoreFact.Unreadable(key, "unreadable");
+      }
+      if (key.startsWith("server")) {
+        ServerEntry server = TrafficFixture.server(key, "north-a");
+        return new StoreFact.ServerFact(
+            new ServerEntry(
+                key,
+                server.service(),
+                server.host(),
+                server.port(),
+                server.zone(),
+                server.slots(),
+                false,
+                Duration.ZERO,
+                Long.parseLong(text)));
+      }
+      if (key.equals("configuration")) {
+        return new StoreFact.ConfigurationFact(
+            TrafficFixture.configuration(Long.parseLong(text), List.of()));
+      }
+      return key.startsWith("evacuate")
+          ? new StoreFact.EvacuationFact(text)
+          : new StoreFact.Foreign();
+    }
+
+    @Override
+    public String memberKey(FleetMember member) {
+      return "member/" + member.name();
+    }
+
+    @Override
+    public String peerSecretKey() {
+      return "secret";
+    }
+
+    @Override
+    public byte[] encode(FleetMember member) {
+      return new byte[0];
+    }
+  }
+
+  @Test
+  public void theConfigurationOnlyMovesForward() {
+    write("configuration", "5", 10);
+    write("configuration", "4", 11);
+    assertEquals(version(), 5);
+    write("configuration", "?", 12);
+    assertEquals(version(), 5);
+    write("configuration", "6", 13);
+    assertEquals(version(), 6);
+  }
+
+  @Test
+  public void anOlderRevisionChangesNothing() {
+    write("evacuate/a", "north-a", 10);
+    facts.apply(List.of(new StoreChange.Removed("evacuate/a", 11)), NOW);
+    facts.replaceAll(List.of(item("evacuate/b", "south-a", 9)), 9, NOW);
+    assertEquals(facts.view(NOW).evacuatedZones(), Set.of("south-a"));
+    facts.apply(List.of(new StoreChange.Removed("evacuate/b", 8)), NOW);
+    assertEquals(facts.view(NOW).evacuatedZones(), Set.of("south-a"));
+  }
+
+  @Test
+  public void whatAListingLacksIsGone() {
+    write("server-1", "1", 10);
+    write("server-2", "1", 12);
+    facts.replaceAll(List.of(), 11, NOW);
+    assertEquals(facts.view(NOW).servers().keySet(), Set.of("server-2"));
+  }
+
+  @Test
+  public void anEntryOfAnEarlierStartIsIgnored() {
+    write("server-1", "200", 10);
+    write("server-1", "100", 11);
+    assertEquals(facts.view(NOW).servers().get("server-1").startedMilliseconds(), 200);
+  }
+
+  @Test
+  public void anUnreadableEntryNamesNoServer() {
+    write("server-1", "1", 10);
+    write("server-2", "1", 11);
+    List<String> problems = facts.apply(List.of(written("server-1", "?", 12)), NOW);
+    assertEquals(problems, List.of("key=server-1 reason=unreadable"));
+    assertEquals(facts.view(NOW).servers().keySet(), Set.of("server-2"));
+  }
+
+  @Test
+  public void lapsedEntriesAreKeptForAWhileAfterTheStoreReturns() {
+    write("server-1", "1", 10);
+    write("server-2", "1", 11);
+    write("evacuate/a", "north-a", 12);
+    facts.storeReturned(NOW);
+    facts.replaceAll(List.of(), 20, NOW);
+    assertEquals(facts.view(NOW + SECOND).servers().keySet(), Set.of("server-1", "server-2"));
+    assertEquals(facts.view(NOW + SECOND).evacuatedZones(), Set.of());
+    assertEquals(facts.nextExpiry(NOW + SECOND).orElseThrow(), Duration.ofSeconds(1));
+    facts.apply(List.of(written("server-2", "1", 21)), NOW + SECOND);
+    assertEquals(facts.view(NOW + 2 * SECOND).servers().keySet(), Set.of("server-2"));
+  }
+
+  @Test
+  public void withoutAnOutageAnEntryIsGoneAtOnce() {
+    write("server-1", "1", 10);
+    facts.apply(List.of(new StoreChange.Removed("server-1", 11)), NOW);
+    assertEquals(facts.view(NOW).servers().keySet(), Set.of());
+  }
+
+  private void write(String key, String value, long revision) {
+    facts.apply(List.of(written(key, value, revision)), NOW);
+  }
+
+  private static StoreChange written(String key, String value, long revision) {
+    return new StoreChange.Written(item(key, value, revision));
+  }
+
+  private static StoreItem item(String key, String value, long revision) {
+    return new StoreItem(key, value.getBytes(StandardCharsets.UTF_8), revision);
+  }
+
+  private long version() {
+    return facts.view(NOW).index().orElseThrow().configuration().version();
+  }
+}
