--- a/weirctl/src/main/java/org/corianderweir/ctl/CommandLine.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/CommandLine.java
@@ -41,6 +41,10 @@
         output.println(usage(chosen));
         return ExitStatus.OK;
       }
+      if (command instanceof LocalCommand local) {
+        output.println(local.run().print(options.format()));
+        return ExitStatus.OK;
+      }
       if (!(command instanceof Command runnable)) {
         errors.println(usage(chosen));
         return ExitStatus.USAGE;
--- a/weirctl/src/main/java/org/corianderweir/ctl/CommandTree.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/CommandTree.java
@@ -9,6 +9,7 @@
 import org.corianderweir.ctl.command.InstanceCommands;
 import org.corianderweir.ctl.command.KeyCommands;
 import org.corianderweir.ctl.command.LabelCommands;
+import org.corianderweir.ctl.command.LogCommand;
 import org.corianderweir.ctl.command.OrganisationCommands;
 import org.corianderweir.ctl.command.SelectorCommands;
 import org.corianderweir.ctl.command.ShiftCommands;
@@ -74,6 +75,7 @@
     add(root, options, "explain", new ShiftCommands.ExplainCommand());
     add(root, options, CommandLine.DRY_RUN, new DryRunCommand());
     add(root, options, "timeline", new TimelineCommand());
+    add(root, options, "log", new LogCommand());
     return root;
   }
 
@@ -84,7 +86,7 @@
   }
 
   private static void add(
-      JCommander parent, ConnectionOptions options, String name, Command command) {
+      JCommander parent, ConnectionOptions options, String name, Object command) {
     parent.addCommand(name, List.of(command, options));
   }
 
--- /dev/null
+++ b/weirctl/src/main/java/org/corianderweir/ctl/LocalCommand.java
@@ -0,0 +1,11 @@
+package org.corianderweir.ctl;
+
+/** A command that asks no entry instance. */
+public interface LocalCommand {
+  /**
+   * Runs the command.
+   *
+   * @throws CommandException if it fails
+   */
+  Result run();
+}
--- /dev/null
+++ b/weirctl/src/main/java/org/corianderweir/ctl/command/LogCommand.java
@@ -0,0 +1,135 @@
+package org.corianderweir.ctl.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.corianderweir.ctl.CommandException;
+import org.corianderweir.ctl.ExitStatus;
+import org.corianderweir.ctl.LocalCommand;
+import org.corianderweir.ctl.Result;
+
+/** Follows a request through the logs of several processes, or counts how requests ended. */
+@Parameters(commandDescription = "follow a request through log files, or sum them up")
+public final class LogCommand implements LocalCommand {
+  private static final Pattern FIELD = Pattern.compile("([a-z][a-z-]*)=(\"[^\"]*\"|\\S*)");
+  private static final String ENDED = "WEIR-4003";
+  private static final String REFUSED = "WEIR-4001";
+  private static final String SENT = "WEIR-4002";
+  private static final String FLEET_CHANGED = "WEIR-2201";
+
+  @Parameter(names = "--request", description = "identifier of the request to follow")
+  private String request = "";
+
+  @Parameter(description = "FILE...")
+  private List<String> files = new ArrayList<>();
+
+  /**
+   * What was found.
+   *
+   * @param lines log lines about a request in the order of their times, or counts by outcome
+   */
+  public record Findings(List<String> lines) {}
+
+  private record Line(String time, Map<String, String> fields, String text) {
+    String field(String name) {
+      return fields.getOrDefault(name, "");
+    }
+  }
+
+  @Override
+  public Result run() {
+    if (files.isEmpty()) {
+      throw new CommandException(
+          ExitStatus.USAGE, "usage", "no log file is named", "name the files to read");
+    }
+    List<Line> lines = new ArrayList<>();
+    for (String file : files) {
+      lines.addAll(read(Path.of(file)));
+    }
+    lines.sort(Comparator.comparing(Line::time));
+    List<String> findings = request.isEmpty() ? summary(lines) : story(lines);
+    return new Result(new Findings(findings), findings);
+  }
+
+  private static List<Line> read(Path file) {
+    try (Stream<String> texts = Files.lines(file)) {
+      return texts.map(LogCommand::parse).flatMap(Optional::stream).toList();
+    } catch (IOException failure) {
+      throw new CommandException(
+          ExitStatus.FAILED, "unreadable", file + " can't be read", "check name and rights");
+    }
+  }
+
+  /** Reads a line; what stands before the time, as a collector may add it, is dropped. */
+  private static Optional<Line> parse(String text) {
+    int start = text.indexOf("time=");
+    if (start < 0) {
+      return Optional.empty();
+    }
+    Map<String, String> fields = new TreeMap<>();
+    Matcher matcher = FIELD.matcher(text.substring(start));
+    while (matcher.find()) {
+      fields.put(matcher.group(1), matcher.group(2).replace("\"", ""));
+    }
+    String time = fields.getOrDefault("time", "");
+    return Optional.of(new Line(time, fields, text.substring(start)));
+  }
+
+  /** Returns the lines about the request and, before each, what its process last learned. */
+  private List<String> story(List<Line> lines) {
+    List<String> story = new ArrayList<>();
+    Map<String, Line> lastLearned = new TreeMap<>();
+    for (Line line : lines) {
+      String process = line.field("process");
+      if (line.field("event").equals(FLEET_CHANGED)) {
+        lastLearned.put(process, line);
+      }
+      if (line.field("subject").equals(request)) {
+        Line learned = lastLearned.remove(process);
+        if (learned != null) {
+          story.add("known before: " + learned.text());
+        }
+        story.add(line.text());
+      }
+    }
+    if (story.isEmpty()) {
+      story.add("no line names the request " + request);
+    }
+    return story;
+  }
+
+  private static List<String> summary(List<Line> lines) {
+    Map<String, Integer> counts = new TreeMap<>();
+    for (Line line : lines) {
+      switch (line.field("event")) {
+        case ENDED -> count(counts, "ended status=" + line.field("status"));
+        case REFUSED -> count(counts, "refused reason=" + line.field("reason"));
+        case SENT -> {
+          if (!line.field("outcome").equals("Answered")) {
+            String server = " server=" + line.field("server");
+            count(counts, "send outcome=" + line.field("outcome") + server);
+          }
+        }
+        default -> count(counts, "event " + line.field("event"));
+      }
+    }
+    return counts.entrySet().stream()
+        .map(entry -> "%6d %s".formatted(entry.getValue(), entry.getKey()))
+        .toList();
+  }
+
+  private static void count(Map<String, Integer> counts, String what) {
+    counts.merge(what, 1, Integer::sum);
+  }
+}
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/DaemonMain.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/DaemonMain.java
@@ -4,9 +4,12 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import java.io.File;
+import java.util.List;
+import org.corianderweir.daemon.settings.DaemonSettingDeclarations;
 import org.corianderweir.daemon.settings.DaemonSettings;
 import org.corianderweir.daemon.settings.EntrySettingDeclarations;
 import org.corianderweir.daemon.settings.EntrySettings;
+import org.corianderweir.daemon.settings.Setting;
 import org.corianderweir.daemon.settings.SettingsDescription;
 import org.corianderweir.daemon.settings.SettingsReader;
 import org.corianderweir.model.WeirException;
@@ -59,7 +62,9 @@
       return 0;
     }
     if (options.describeSettings) {
-      SettingsDescription.rows().forEach(System.out::println);
+      List<Setting<?>> declarations =
+          options.platform ? EntrySettingDeclarations.all() : DaemonSettingDeclarations.all();
+      SettingsDescription.rows(declarations).forEach(System.out::println);
       return 0;
     }
     if (options.settingsFile.isEmpty()) {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/settings/SettingsDescription.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/settings/SettingsDescription.java
@@ -6,9 +6,9 @@
 public final class SettingsDescription {
   private SettingsDescription() {}
 
-  /** Returns a row for each setting. */
-  public static List<String> rows() {
-    return DaemonSettingDeclarations.all().stream().map(SettingsDescription::row).toList();
+  /** Returns a row for each declared setting. */
+  public static List<String> rows(List<Setting<?>> declarations) {
+    return declarations.stream().map(SettingsDescription::row).toList();
   }
 
   private static String row(Setting<?> setting) {
--- a/weirdaemon/src/test/java/org/corianderweir/daemon/settings/SettingsDocumentTest.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/settings/SettingsDocumentTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.Test;
 
@@ -14,7 +15,9 @@
 
   @Test
   public void documentListsEverySetting() throws IOException {
-    List<String> expected = SettingsDescription.rows();
+    List<String> expected =
+        new ArrayList<>(SettingsDescription.rows(DaemonSettingDeclarations.all()));
+    expected.addAll(SettingsDescription.rows(EntrySettingDeclarations.all()));
     List<String> rows =
         Files.readAllLines(DOCUMENT).stream().filter(line -> line.startsWith("| `[")).toList();
     assertEquals(rows, expected);
