--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ForwardedRequest.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ForwardedRequest.java
@@ -116,8 +116,8 @@
       ServerState server, long sent, @Nullable HttpReply reply, @Nullable Throwable failure) {
     SendOutcome outcome = reply != null ? messages.outcome(reply) : outcome(failure);
     long now = time.monotonicNanoseconds();
-    NextStep next = director.ended(plan, server, outcome, sent, now);
     log.sendEnded(plan, server, outcome, sent, now);
+    NextStep next = director.ended(plan, server, outcome, sent, now);
     if (outcome instanceof SendOutcome.Abandoned) {
       log.abandoned(plan, now);
       return;
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerState.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerState.java
@@ -23,9 +23,13 @@
 
   private static final int COLD_BUCKETS = 10;
 
+  /** A server that holds requests and answers none for this long may be gone without a word. */
+  private static final long SILENCE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
   private ServerEntry entry;
   private final String region;
   private int inFlight;
+  private long waitingSince;
   private int reportedOthers;
   private long reportedAt;
   private double failures;
@@ -70,6 +74,9 @@
   }
 
   void begin(long nowNanoseconds) {
+    if (inFlight == 0) {
+      waitingSince = nowNanoseconds;
+    }
     inFlight++;
     if (cold(nowNanoseconds)) {
       coldRequests.add(nowNanoseconds);
@@ -93,6 +100,16 @@
     coldUntil = nowNanoseconds + remainingNanoseconds;
   }
 
+  /** The server gave a sign of life. */
+  void heard(long nowNanoseconds) {
+    waitingSince = nowNanoseconds;
+  }
+
+  /** Returns whether the server holds requests and has not answered for long. */
+  boolean silent(long nowNanoseconds) {
+    return inFlight > 0 && nowNanoseconds - waitingSince > SILENCE_NANOSECONDS;
+  }
+
   /** The server answered whole; its time is compared with that of its service. */
   void answered(double relativeTime, long nowNanoseconds) {
     observe(0, relativeTime, nowNanoseconds);
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -142,6 +142,7 @@
         yield again(plan, false, nowNanoseconds);
       }
       case SendOutcome.NotRun refusal -> {
+        server.heard(nowNanoseconds);
         report(server, refusal.report(), nowNanoseconds);
         if (refusal.otherServer()) {
           server.lost(true, nowNanoseconds);
@@ -152,6 +153,7 @@
         yield again(plan, true, nowNanoseconds);
       }
       case SendOutcome.Answered answer -> {
+        server.heard(nowNanoseconds);
         report(server, answer.report(), nowNanoseconds);
         plan.endedUncertain();
         if (answer.serverError()) {
@@ -170,7 +172,7 @@
             : new NextStep.Fail(false);
       }
       case SendOutcome.TimedOut unused -> {
-        server.failed(nowNanoseconds);
+        server.lost(false, nowNanoseconds);
         plan.endedUncertain();
         yield new NextStep.Fail(true);
       }
@@ -285,7 +287,9 @@
       ServerState server = order.get(rank);
       boolean sound =
           lastResort
-              || (!server.ejected(nowNanoseconds) && !ServerChoice.full(server, nowNanoseconds));
+              || (!server.ejected(nowNanoseconds)
+                  && !server.silent(nowNanoseconds)
+                  && !ServerChoice.full(server, nowNanoseconds));
       boolean usable =
           sound
               && !plan.triedAt(server.entry().identifier())
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficDirectorTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficDirectorTest.java
@@ -144,6 +144,29 @@
     assertEquals(step, new NextStep.Fail(false));
   }
 
+  /** A server that went silent keeps its connections; only its silence tells. */
+  @Test
+  public void aSilentServerIsLeftBeforeItsRequestsTimeOut() {
+    TrafficDirector director = director(TrafficFixture.servers("north-a", 4));
+    NextStep.Send silent = (NextStep.Send) director.next(admit(director, "read", "1"), NOW);
+    long soon = NOW + 1_000 * MILLISECOND;
+    assertEquals(server(director.next(admit(director, "read", "1"), soon)), silent.server());
+    long later = NOW + 1_600 * MILLISECOND;
+    assertFalse(server(director.next(admit(director, "read", "1"), later)).equals(silent.server()));
+  }
+
+  @Test
+  public void aBusyServerThatAnswersIsNotLeft() {
+    TrafficDirector director = director(TrafficFixture.servers("north-a", 4));
+    NextStep.Send first = (NextStep.Send) director.next(admit(director, "read", "1"), NOW);
+    RequestPlan other = admit(director, "read", "1");
+    director.next(other, NOW);
+    long soon = NOW + 1_000 * MILLISECOND;
+    director.ended(other, first.server(), success(), NOW, soon);
+    long later = NOW + 1_600 * MILLISECOND;
+    assertEquals(server(director.next(admit(director, "read", "1"), later)), first.server());
+  }
+
   @Test
   public void attemptsEndWithTheRoutesMaximum() {
     TrafficDirector director = director(TrafficFixture.servers("north-a", 4));
