--- a/weirbench/src/main/java/org/corianderweir/bench/metadata/StoreState.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/metadata/StoreState.java
@@ -16,8 +16,10 @@
   private long oldestRevision = 1;
   private long nextLease = 100;
 
+  /** An item; the value is in base64 as on the wire. */
   record Item(String key, String value, long revision, long lease) {}
 
+  /** A change of a key; without an item the key was removed. */
   record Change(String key, Optional<Item> item, long revision) {}
 
   long revision() {
