--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/RateShareTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/RateShareTest.java
@@ -42,8 +42,8 @@
     Fleet fleet = new Fleet(limit);
     fleet.run(5_000, limit / 1.6);
     int before = fleet.refused;
-    fleet.run(20_000, limit / 1.6);
-    double share = (fleet.refused - before) / (20 * limit / 1.6);
+    fleet.run(200_000, limit / 1.6);
+    double share = (fleet.refused - before) / (200 * limit / 1.6);
     assertTrue(share < 0.01, "refused " + share);
   }
 
