--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.corianderweir.model.traffic.FleetMember;
 import org.corianderweir.model.traffic.FleetPlace;
 import org.corianderweir.model.traffic.ServerEntry;
@@ -68,10 +67,6 @@
     return Math.min(wanted, local);
   }
 
-  Optional<ServerState> find(String identifier) {
-    return Optional.ofNullable(servers.get(identifier));
-  }
-
   private Placement place(String service) {
     List<ServerState> usable = new ArrayList<>();
     for (ServerState server : servers.values()) {
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerState.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerState.java
@@ -61,11 +61,6 @@
     return region;
   }
 
-  /** Returns the requests of this instance that the server holds. */
-  public int inFlight() {
-    return inFlight;
-  }
-
   void update(ServerEntry newer, long nowNanoseconds) {
     if (!newer.coldRemaining().equals(entry.coldRemaining())) {
       coldUntil = nowNanoseconds + newer.coldRemaining().toNanos();
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -217,11 +217,6 @@
                 nowNanoseconds));
   }
 
-  /** Returns the part of the fleet's bounds that this instance has, as a number of instances. */
-  public synchronized int instances() {
-    return instances;
-  }
-
   private static NextStep deliver() {
     return new NextStep.Deliver();
   }
