--- a/weirdaemon/src/test/java/org/corianderweir/daemon/PlatformBoundaryTest.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/PlatformBoundaryTest.java
@@ -5,7 +5,6 @@
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
-import com.tngtech.archunit.core.importer.ImportOption;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -22,7 +21,7 @@
 
   private final JavaClasses classes =
       new ClassFileImporter()
-          .withImportOption(new ImportOption.DoNotIncludeTests())
+          .withImportOption(location -> !location.contains("/test-classes/"))
           .importPackages("org.corianderweir");
 
   @Test
--- a/weirlib/src/test/java/org/corianderweir/architecture/LayersTest.java
+++ b/weirlib/src/test/java/org/corianderweir/architecture/LayersTest.java
@@ -4,7 +4,6 @@
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
-import com.tngtech.archunit.core.importer.ImportOption;
 import org.testng.annotations.Test;
 
 /** Holds the layers of the library: nothing depends upwards. */
@@ -13,7 +12,7 @@
   public void layersDependDownwardsOnly() {
     JavaClasses classes =
         new ClassFileImporter()
-            .withImportOption(new ImportOption.DoNotIncludeTests())
+            .withImportOption(location -> !location.contains("/test-classes/"))
             .importPackages("org.corianderweir");
     layeredArchitecture()
         .consideringOnlyDependenciesInLayers()
