--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/DemandExchange.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/DemandExchange.java
@@ -120,7 +120,8 @@
     return regions;
   }
 
-  private static EntryInstance address(FleetMember member) {
+  /** Returns an instance as the transport between instances names it. */
+  static EntryInstance address(FleetMember member) {
     return new EntryInstance(
         member.name(),
         member.region(),
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
@@ -15,7 +15,6 @@
 import org.corianderweir.logic.traffic.FleetView;
 import org.corianderweir.logic.traffic.TrafficDirector;
 import org.corianderweir.model.timeline.EventCode;
-import org.corianderweir.model.topology.EntryInstance;
 import org.corianderweir.model.traffic.FleetMember;
 import org.corianderweir.platform.HttpMetadataStore;
 import org.corianderweir.platform.PlatformHeaders;
@@ -129,17 +128,9 @@
   }
 
   private DemandExchange startExchange(String secret) {
-    EntryInstance instance =
-        new EntryInstance(
-            self.name(),
-            self.region(),
-            self.zone(),
-            self.host(),
-            self.callerPort(),
-            self.callerPort(),
-            self.peerPort());
     PeerTransport transport =
-        new PeerTransport(instance, self.incarnation(), secret, events, metrics, time);
+        new PeerTransport(
+            DemandExchange.address(self), self.incarnation(), secret, events, metrics, time);
     kernel.register(EventLog.NAME, events).register(PeerTransport.NAME, transport);
     kernel.start();
     DemandExchange started = new DemandExchange(self, director, transport, loop, time);
