Tests of a whole entry instance share a fixture; a server can refuse late

The fixture is the former set-up of EntryInstanceTest, unchanged. ServerStandIn can hold requests and refuse them when they are released, for tests of what happens meanwhile.

--- a/weirbench/src/main/java/org/corianderweir/bench/metadata/ServerStandIn.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/metadata/ServerStandIn.java
@@ -2,7 +2,9 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.corianderweir.http.HttpHeaders;
 import org.corianderweir.http.HttpListener;
@@ -21,6 +23,7 @@
   private final String identifier;
   private final HttpListener listener;
   private final List<HttpRequest> executedRequests = new CopyOnWriteArrayList<>();
+  private final Queue<CompletableFuture<Void>> heldRequests = new ConcurrentLinkedQueue<>();
   private volatile Fault fault = Fault.NONE;
 
   /** The faults of the server. */
@@ -29,6 +32,8 @@
     NONE,
     /** It refuses requests because all its slots are taken. */
     FULL,
+    /** It holds requests and refuses them when they are released. */
+    FULL_LATE,
     /** It runs requests but never answers. */
     SILENT,
     /** Its answers carry the identifier of another request. */
@@ -72,6 +77,18 @@
     return List.copyOf(executedRequests);
   }
 
+  /** Returns the number of requests that are held. */
+  public int heldRequestCount() {
+    return heldRequests.size();
+  }
+
+  /** Refuses the requests that are held. */
+  public void releaseHeldRequests() {
+    while (!heldRequests.isEmpty()) {
+      heldRequests.remove().complete(null);
+    }
+  }
+
   private CompletableFuture<HttpResponse> handle(HttpRequest request) {
     HttpHeaders headers =
         HttpHeaders.NONE.with(
@@ -88,8 +105,14 @@
     if (!addressedHere) {
       return respond(STATUS_MISDIRECTED, headers.with("Instance-Id", identifier));
     }
+    HttpHeaders refusal = headers.with("Not-Run", "1").with("Server-Load", "3,9,3");
     if (fault == Fault.FULL) {
-      return respond(STATUS_UNAVAILABLE, headers.with("Not-Run", "1").with("Server-Load", "3,9,3"));
+      return respond(STATUS_UNAVAILABLE, refusal);
+    }
+    if (fault == Fault.FULL_LATE) {
+      CompletableFuture<Void> held = new CompletableFuture<>();
+      heldRequests.add(held);
+      return held.thenCompose(unused -> respond(STATUS_UNAVAILABLE, refusal));
     }
     executedRequests.add(request);
     if (fault == Fault.SILENT) {
--- /dev/null
+++ b/weirbench/src/test/java/org/corianderweir/bench/metadata/EntryInstanceFixture.java
@@ -0,0 +1,128 @@
+package org.corianderweir.bench.metadata;
+
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.corianderweir.daemon.entry.EntryInstanceServices;
+import org.corianderweir.daemon.settings.EntrySettings;
+import org.corianderweir.http.HttpAddress;
+import org.corianderweir.http.HttpClient;
+import org.corianderweir.http.HttpClientOptions;
+import org.corianderweir.http.HttpRequest;
+import org.corianderweir.kernel.TimeSource;
+import org.corianderweir.logic.traffic.FleetBounds;
+import org.corianderweir.model.traffic.InstanceLocation;
+
+/** A whole entry instance that is ready, its store, two servers, and a client for callers. */
+final class EntryInstanceFixture implements AutoCloseable {
+  static final String HOST = "127.0.0.1";
+  static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(20);
+  private static final int STATUS_OK = 200;
+  private static final int RESPONSE_LIMIT_BYTES = 1024 * 1024;
+
+  private final MetadataStoreStandIn store = new MetadataStoreStandIn(HOST, 0);
+  private final ServerStandIn first = new ServerStandIn("server-1", HOST, 0);
+  private final ServerStandIn second = new ServerStandIn("server-2", HOST, 0);
+  private final HttpClient caller =
+      new HttpClient(
+          new HttpClientOptions("caller", REQUEST_TIMEOUT, REQUEST_TIMEOUT, RESPONSE_LIMIT_BYTES));
+  private final EntrySettings settings;
+  private final EntryInstanceServices instance;
+
+  EntryInstanceFixture(TimeSource time) throws Exception {
+    store.start();
+    first.start();
+    second.start();
+    store.put("op/config", StoreValues.configuration(1, 1_000));
+    store.put("servers/server-1", registration(first, "ready"));
+    store.put("servers/server-2", registration(second, "ready"));
+    settings =
+        new EntrySettings(
+            "entry-1",
+            new InstanceLocation("north-a", "north", Map.of("north-a", "north")),
+            freeAddress(),
+            freeAddress(),
+            freeAddress(),
+            freeAddress().port(),
+            freeAddress().port(),
+            new HttpAddress(HOST, store.port()),
+            Duration.ofSeconds(5),
+            Duration.ofSeconds(4),
+            Duration.ofMillis(1_500),
+            1_000,
+            new FleetBounds(0.2, 1_000, Duration.ofSeconds(10), 0.1, 20, Duration.ofSeconds(5)));
+    instance = new EntryInstanceServices(settings, time);
+    instance.start();
+    caller.start();
+    await(() -> status(settings.readinessAddress(), "/api/readiness") == STATUS_OK);
+    await(() -> store.keys("corianderweir/members/").size() == 1);
+  }
+
+  @Override
+  public void close() throws Exception {
+    caller.stop();
+    instance.stopGracefully();
+    first.stop();
+    second.stop();
+    store.stop();
+  }
+
+  MetadataStoreStandIn store() {
+    return store;
+  }
+
+  ServerStandIn first() {
+    return first;
+  }
+
+  ServerStandIn second() {
+    return second;
+  }
+
+  List<ServerStandIn> servers() {
+    return List.of(first, second);
+  }
+
+  HttpClient caller() {
+    return caller;
+  }
+
+  EntrySettings settings() {
+    return settings;
+  }
+
+  /** Returns the status of the answer to a GET request, or 0 if there is none. */
+  private int status(HttpAddress address, String path) {
+    try {
+      return caller
+          .exchange(address, HttpRequest.of("GET", path), REQUEST_TIMEOUT)
+          .get(REQUEST_TIMEOUT.toSeconds(), TimeUnit.SECONDS)
+          .status();
+    } catch (Exception failure) {
+      return 0;
+    }
+  }
+
+  static String registration(ServerStandIn server, String state) {
+    return StoreValues.server(HOST + ":" + server.port(), "north-a", state);
+  }
+
+  static void await(BooleanSupplier condition) throws InterruptedException {
+    for (int attempt = 0; attempt < 1_000; attempt++) {
+      if (condition.getAsBoolean()) {
+        return;
+      }
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+    throw new AssertionError("did not happen");
+  }
+
+  private static HttpAddress freeAddress() throws Exception {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return new HttpAddress(HOST, socket.getLocalPort());
+    }
+  }
+}
--- a/weirbench/src/test/java/org/corianderweir/bench/metadata/EntryInstanceTest.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/metadata/EntryInstanceTest.java
@@ -1,24 +1,18 @@
 package org.corianderweir.bench.metadata;
 
+import static org.corianderweir.bench.metadata.EntryInstanceFixture.REQUEST_TIMEOUT;
+import static org.corianderweir.bench.metadata.EntryInstanceFixture.await;
+import static org.corianderweir.bench.metadata.EntryInstanceFixture.registration;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.net.ServerSocket;
-import java.time.Duration;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.corianderweir.daemon.SystemTimeSource;
-import org.corianderweir.daemon.entry.EntryInstanceServices;
 import org.corianderweir.daemon.settings.EntrySettings;
-import org.corianderweir.http.HttpAddress;
 import org.corianderweir.http.HttpClient;
-import org.corianderweir.http.HttpClientOptions;
 import org.corianderweir.http.HttpHeaders;
 import org.corianderweir.http.HttpRequest;
 import org.corianderweir.http.HttpResponse;
-import org.corianderweir.logic.traffic.FleetBounds;
-import org.corianderweir.model.traffic.InstanceLocation;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -26,62 +20,28 @@
 
 /** Tests of a whole entry instance with stand-ins for the metadata store and the servers. */
 public class EntryInstanceTest {
-  private static final String HOST = "127.0.0.1";
-  private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(20);
   private static final int STATUS_OK = 200;
-  private static final int RESPONSE_LIMIT_BYTES = 1024 * 1024;
 
+  private EntryInstanceFixture fixture;
   private ServerStandIn first;
   private ServerStandIn second;
-  private EntryInstanceServices instance;
   private EntrySettings settings;
   private MetadataStoreStandIn store;
   private HttpClient caller;
 
   @BeforeMethod
   public void start() throws Exception {
-    store = new MetadataStoreStandIn(HOST, 0);
-    store.start();
-    first = new ServerStandIn("server-1", HOST, 0);
-    second = new ServerStandIn("server-2", HOST, 0);
-    first.start();
-    second.start();
-    store.put("op/config", StoreValues.configuration(1, 1_000));
-    store.put("servers/server-1", registration(first, "ready"));
-    store.put("servers/server-2", registration(second, "ready"));
-    settings =
-        new EntrySettings(
-            "entry-1",
-            new InstanceLocation("north-a", "north", Map.of("north-a", "north")),
-            freeAddress(),
-            freeAddress(),
-            freeAddress(),
-            freeAddress().port(),
-            freeAddress().port(),
-            new HttpAddress(HOST, store.port()),
-            Duration.ofSeconds(5),
-            Duration.ofSeconds(4),
-            Duration.ofMillis(1_500),
-            1_000,
-            new FleetBounds(0.2, 1_000, Duration.ofSeconds(10), 0.1, 20, Duration.ofSeconds(5)));
-    instance = new EntryInstanceServices(settings, new SystemTimeSource());
-    instance.start();
-    caller =
-        new HttpClient(
-            new HttpClientOptions(
-                "caller", REQUEST_TIMEOUT, REQUEST_TIMEOUT, RESPONSE_LIMIT_BYTES));
-    caller.start();
-    await(() -> status(settings.readinessAddress(), "/api/readiness") == STATUS_OK);
-    await(() -> store.keys("corianderweir/members/").size() == 1);
+    fixture = new EntryInstanceFixture(new SystemTimeSource());
+    first = fixture.first();
+    second = fixture.second();
+    settings = fixture.settings();
+    store = fixture.store();
+    caller = fixture.caller();
   }
 
   @AfterMethod
   public void stop() throws Exception {
-    caller.stop();
-    instance.stopGracefully();
-    first.stop();
-    second.stop();
-    store.stop();
+    fixture.close();
   }
 
   @Test
@@ -187,17 +147,6 @@
         response.bodyText(), "{\"addresses\":[\"" + settings.callerAddress() + "\"],\"ttlS\":2}");
   }
 
-  private int status(HttpAddress address, String path) {
-    try {
-      return caller
-          .exchange(address, HttpRequest.of("GET", path), REQUEST_TIMEOUT)
-          .get(20, TimeUnit.SECONDS)
-          .status();
-    } catch (Exception failure) {
-      return 0;
-    }
-  }
-
   private HttpResponse request(String path, String key) {
     HttpHeaders headers =
         HttpHeaders.NONE
@@ -217,24 +166,4 @@
       throw new AssertionError(failure);
     }
   }
-
-  private static String registration(ServerStandIn server, String state) {
-    return StoreValues.server(HOST + ":" + server.port(), "north-a", state);
-  }
-
-  private static HttpAddress freeAddress() throws Exception {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return new HttpAddress(HOST, socket.getLocalPort());
-    }
-  }
-
-  private static void await(BooleanSupplier condition) throws InterruptedException {
-    for (int attempt = 0; attempt < 1_000; attempt++) {
-      if (condition.getAsBoolean()) {
-        return;
-      }
-      TimeUnit.MILLISECONDS.sleep(20);
-    }
-    throw new AssertionError("did not happen");
-  }
 }
