--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.corianderweir.daemon.settings.EntrySettings;
+import org.corianderweir.http.CallerConnection;
 import org.corianderweir.http.HttpAddress;
 import org.corianderweir.http.HttpClient;
 import org.corianderweir.http.HttpClientOptions;
@@ -99,7 +100,9 @@
                 .withEchoHeader(names.requestIdentifier()));
     int callerConnections = (int) (CALLER_DESCRIPTOR_RATIO * settings.fileDescriptorLimit());
     requestListener =
-        listener("requests", settings.callerAddress(), callerConnections, this::handleRequest);
+        new HttpListener(
+            listenerOptions("requests", settings.callerAddress(), callerConnections),
+            this::handleRequest);
     controlListeners =
         List.of(
             listener(
@@ -138,11 +141,14 @@
 
   private static HttpListener listener(
       String name, HttpAddress address, int connections, HttpRequestHandler handler) {
-    return new HttpListener(
-        new HttpListenerOptions(
-                name, address.host(), address.port(), BODY_LIMIT_BYTES, WORKER_THREAD_COUNT)
-            .withLimits(connections, connections, TRANSFER_TIMEOUT),
-        handler);
+    return new HttpListener(listenerOptions(name, address, connections), handler);
+  }
+
+  private static HttpListenerOptions listenerOptions(
+      String name, HttpAddress address, int connections) {
+    return new HttpListenerOptions(
+            name, address.host(), address.port(), BODY_LIMIT_BYTES, WORKER_THREAD_COUNT)
+        .withLimits(connections, connections, TRANSFER_TIMEOUT);
   }
 
   private CompletableFuture<HttpResponse> handleReadiness(HttpRequest request) {
@@ -179,12 +185,13 @@
         : settings.lookupLifetime();
   }
 
-  private CompletableFuture<HttpResponse> handleRequest(HttpRequest request) {
-    RequestAttributes attributes = messages.attributes(request);
+  private CompletableFuture<HttpResponse> handleRequest(
+      HttpRequest request, CallerConnection caller) {
+    RequestAttributes attributes = messages.attributes(request, caller.queueTime());
     Admission admission = director.admit(attributes, time.monotonicNanoseconds());
     return switch (admission) {
       case Admission.Rejected rejected -> reject(attributes, rejected);
-      case Admission.Admitted admitted -> forward(request, admitted);
+      case Admission.Admitted admitted -> forward(request, caller, admitted);
     };
   }
 
@@ -196,11 +203,12 @@
   }
 
   private CompletableFuture<HttpResponse> forward(
-      HttpRequest request, Admission.Admitted admitted) {
+      HttpRequest request, CallerConnection caller, Admission.Admitted admitted) {
     inFlight.incrementAndGet();
     CompletableFuture<HttpResponse> answer =
         new ForwardedRequest(
                 request,
+                caller,
                 admitted.request(),
                 director,
                 client,
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ForwardedRequest.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ForwardedRequest.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.UnaryOperator;
+import org.corianderweir.http.CallerConnection;
 import org.corianderweir.http.HttpAddress;
 import org.corianderweir.http.HttpClient;
 import org.corianderweir.http.HttpRequest;
@@ -30,6 +31,7 @@
   private static final Duration IDEMPOTENT_IDLE_LIMIT = Duration.ofMillis(3_000);
 
   private final HttpRequest callerRequest;
+  private final CallerConnection caller;
   private final AdmittedRequest request;
   private final TrafficDirector director;
   private final HttpClient client;
@@ -43,6 +45,7 @@
 
   ForwardedRequest(
       HttpRequest callerRequest,
+      CallerConnection caller,
       AdmittedRequest request,
       TrafficDirector director,
       HttpClient client,
@@ -51,6 +54,7 @@
       RequestLog log,
       TimeSource time) {
     this.callerRequest = callerRequest;
+    this.caller = caller;
     this.request = request;
     this.director = director;
     this.client = client;
@@ -104,6 +108,7 @@
 
   private void send(NextStep.Send send) {
     ServerState server = send.server();
+    boolean callerOpen = caller.isOpen();
     long sentNanoseconds = time.monotonicNanoseconds();
     HttpAddress address =
         new HttpAddress(server.registration().host(), server.registration().port());
@@ -121,17 +126,18 @@
       }
     }
     pending.whenComplete(
-        (response, failure) -> sendEnded(server, sentNanoseconds, response, failure));
+        (response, failure) -> sendEnded(server, callerOpen, sentNanoseconds, response, failure));
   }
 
   private void sendEnded(
       ServerState server,
+      boolean callerOpen,
       long sentNanoseconds,
       @Nullable HttpResponse response,
       @Nullable Throwable failure) {
     SendOutcome outcome = response != null ? messages.outcome(response) : outcome(failure);
     long now = time.monotonicNanoseconds();
-    log.sendEnded(request, server, outcome, sentNanoseconds, now);
+    log.sendEnded(request, server, callerOpen, outcome, sentNanoseconds, now);
     NextStep next = director.sendEnded(request, server, outcome, sentNanoseconds, now);
     if (outcome instanceof SendOutcome.Abandoned) {
       log.abandoned(request, now);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
@@ -53,6 +53,7 @@
                 sanitize(attributes.host()),
                 sanitize(attributes.path()),
                 revision,
+                attributes.queueTime().toMillis(),
                 rejected.retryAfter().toMillis(),
                 rejected.rateLimit().map(RequestLog::describe).orElse("")));
   }
@@ -60,6 +61,7 @@
   void sendEnded(
       AdmittedRequest request,
       ServerState server,
+      boolean callerOpen,
       SendOutcome outcome,
       long sentNanoseconds,
       long nowNanoseconds) {
@@ -69,7 +71,7 @@
         EventCode.REQUEST_SENT,
         sanitize(request.attributes().identifier()),
         ("server=%s zone=%s outcome=%s send=%d rank=%d affinity=%s "
-                + "load=%.1f slots=%d failures=%.2f took=%d")
+                + "load=%.1f slots=%d failures=%.2f queued=%d caller=%s took=%d")
             .formatted(
                 server.registration().identifier(),
                 server.registration().zone(),
@@ -80,6 +82,8 @@
                 server.load(nowNanoseconds),
                 server.registration().slots(),
                 server.failureRatio(nowNanoseconds),
+                request.attributes().queueTime().toMillis(),
+                callerOpen ? "open" : "closed",
                 milliseconds(nowNanoseconds - sentNanoseconds)));
   }
 
@@ -91,7 +95,7 @@
         EventCode.REQUEST_ANSWERED,
         sanitize(request.attributes().identifier()),
         ("status=%d may-have-run=%s sends=%d route=%s service=%s organisation=%s"
-                + " version=%d revision=%d took=%d left=%d")
+                + " version=%d revision=%d queued=%d took=%d left=%d")
             .formatted(
                 status,
                 request.mayHaveRun(),
@@ -101,6 +105,7 @@
                 request.organisation().map(CallerOrganisation::name).orElse(""),
                 request.configurationVersion(),
                 revision,
+                request.attributes().queueTime().toMillis(),
                 milliseconds(latencyNanoseconds),
                 milliseconds(request.deadlineNanoseconds() - nowNanoseconds)));
   }
@@ -110,7 +115,10 @@
     events.record(
         EventCode.REQUEST_UNKNOWN,
         sanitize(request.attributes().identifier()),
-        "reason=caller-left took=" + milliseconds(nowNanoseconds - request.arrivedNanoseconds()));
+        "reason=caller-left queued=%d took=%d"
+            .formatted(
+                request.attributes().queueTime().toMillis(),
+                milliseconds(nowNanoseconds - request.arrivedNanoseconds())));
   }
 
   private void count(String name) {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ServerMessageTranslator.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ServerMessageTranslator.java
@@ -37,7 +37,7 @@
   }
 
   /** Reads the attributes of a request. */
-  RequestAttributes attributes(HttpRequest request) {
+  RequestAttributes attributes(HttpRequest request, Duration queueTime) {
     HttpHeaders headers = request.headers();
     return new RequestAttributes(
         headers.first(names.requestIdentifier()).orElse(""),
@@ -45,7 +45,8 @@
         request.path(),
         headers.first(names.accessKey()),
         headers.first(names.affinity()),
-        parseNumber(headers.first(names.deadlineMilliseconds())));
+        parseNumber(headers.first(names.deadlineMilliseconds())),
+        queueTime);
   }
 
   /** Returns the request in the form that is sent to a server. */
--- a/weirhttp/src/main/java/org/corianderweir/http/DisconnectDetectionFilter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/DisconnectDetectionFilter.java
@@ -1,5 +1,7 @@
 package org.corianderweir.http;
 
+import java.io.IOException;
+import java.time.Duration;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -16,55 +18,60 @@
  * can't be confused. Clients that pipeline requests have to expect this (RFC 9112, section 9.3.2).
  */
 final class DisconnectDetectionFilter extends BaseFilter {
-  private static final Attribute<ExchangeState> EXCHANGE_STATE =
-      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("corianderweir.http.watch");
+  private static final Attribute<CallerExchange> EXCHANGE =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("corianderweir.http.callerExchange");
 
-  private enum ExchangeState {
-    PROCESSING,
-    PROCESSING_THEN_CLOSE,
-    WRITING
+  /** Monotonic time of the latest read, which completed the request if it is being handled. */
+  private static final Attribute<Long> READ_AT =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("corianderweir.http.readAt");
+
+  /** Begins the handling of a request that was read completely. */
+  static CallerExchange beginHandling(Connection<?> connection, long nowNanoseconds) {
+    Long readNanoseconds = READ_AT.get(connection);
+    Duration queueTime =
+        readNanoseconds == null
+            ? Duration.ZERO
+            : Duration.ofNanos(nowNanoseconds - readNanoseconds);
+    CallerExchange exchange = new CallerExchange(connection, queueTime);
+    EXCHANGE.set(connection, exchange);
+    return exchange;
   }
 
-  /** Starts watching the connection of a request that was read completely. */
+  /** Starts watching the connection of a request whose response is not complete yet. */
   static void startWatching(Connection<?> connection) {
-    EXCHANGE_STATE.set(connection, ExchangeState.PROCESSING);
     try {
       connection.enableIOEvent(IOEvent.READ);
-    } catch (java.io.IOException closed) {
+    } catch (IOException closed) {
       connection.closeSilently();
     }
   }
 
-  /** Stops reading before the response is written; returns whether the connection may be kept. */
-  static boolean beginWrite(Connection<?> connection) {
+  /** Stops reading from a watched connection before the response is written. */
+  static void stopWatching(Connection<?> connection) {
     try {
       connection.disableIOEvent(IOEvent.READ);
-    } catch (java.io.IOException closed) {
+    } catch (IOException closed) {
       connection.closeSilently();
     }
-    ExchangeState before = EXCHANGE_STATE.get(connection);
-    EXCHANGE_STATE.set(connection, ExchangeState.WRITING);
-    return before != ExchangeState.PROCESSING_THEN_CLOSE;
   }
 
-  /** Stops watching a connection after the response was written. */
-  static void stopWatching(Connection<?> connection) {
-    EXCHANGE_STATE.remove(connection);
+  /** Ends the exchange on a connection after the response was written. */
+  static void endExchange(Connection<?> connection) {
+    EXCHANGE.remove(connection);
   }
 
   @Override
   public NextAction handleRead(FilterChainContext context) {
     Connection<?> connection = context.getConnection();
-    ExchangeState state = EXCHANGE_STATE.get(connection);
-    if (state == null) {
+    CallerExchange exchange = EXCHANGE.get(connection);
+    if (exchange == null) {
+      READ_AT.set(connection, System.nanoTime());
       return context.getInvokeAction();
     }
     Buffer dropped = context.getMessage();
     dropped.tryDispose();
-    if (state == ExchangeState.WRITING) {
+    if (!exchange.onSurplusBytes()) {
       connection.closeSilently();
-    } else {
-      EXCHANGE_STATE.set(connection, ExchangeState.PROCESSING_THEN_CLOSE);
     }
     return context.getStopAction();
   }
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
@@ -25,6 +25,11 @@
 
   /** Creates a server without starting it. */
   public HttpListener(HttpListenerOptions options, HttpRequestHandler requestHandler) {
+    this(options, (request, caller) -> requestHandler.handle(request));
+  }
+
+  /** Creates a server without starting it, whose handler can ask for the caller's connection. */
+  public HttpListener(HttpListenerOptions options, CallerRequestHandler requestHandler) {
     server = new HttpServer();
     guard =
         new ConnectionGuard(
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpRequestAdapter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpRequestAdapter.java
@@ -26,10 +26,10 @@
   private static final Set<String> FRAMING_HEADERS =
       Set.of("content-length", "transfer-encoding", "connection");
 
-  private final HttpRequestHandler requestHandler;
+  private final CallerRequestHandler requestHandler;
   private final int bodyLimitBytes;
 
-  HttpRequestAdapter(HttpRequestHandler requestHandler, int bodyLimitBytes) {
+  HttpRequestAdapter(CallerRequestHandler requestHandler, int bodyLimitBytes) {
     this.requestHandler = requestHandler;
     this.bodyLimitBytes = bodyLimitBytes;
     setAllowEncodedSlash(true);
@@ -47,28 +47,28 @@
   }
 
   private void dispatch(Request request, Response response, byte[] body) {
-    ConnectionGuard.onRequestRead(request.getContext().getConnection());
+    Connection<?> connection = request.getContext().getConnection();
+    ConnectionGuard.onRequestRead(connection);
+    CallerExchange exchange =
+        DisconnectDetectionFilter.beginHandling(connection, System.nanoTime());
     CompletableFuture<HttpResponse> result;
     try {
-      result = requestHandler.handle(toHttpRequest(request, body));
+      result = requestHandler.handle(toHttpRequest(request, body), exchange);
     } catch (RuntimeException failure) {
       result = CompletableFuture.failedFuture(failure);
     }
     if (result.isDone()) {
-      write(response, responseOrInternalError(result));
+      write(response, responseOrInternalError(result), exchange);
       return;
     }
-    Connection<?> connection = request.getContext().getConnection();
     CancelOnClose cancel = new CancelOnClose(result);
     connection.addCloseListener(cancel);
     DisconnectDetectionFilter.startWatching(connection);
     result.whenComplete(
         (completed, failure) -> {
           connection.removeCloseListener(cancel);
-          if (!DisconnectDetectionFilter.beginWrite(connection)) {
-            closeAfterResponse(response);
-          }
-          write(response, failure == null ? completed : internalError());
+          DisconnectDetectionFilter.stopWatching(connection);
+          write(response, failure == null ? completed : internalError(), exchange);
         });
   }
 
@@ -100,6 +100,13 @@
     return HttpResponse.json(STATUS_INTERNAL_SERVER_ERROR, "{\"code\":\"internal-error\"}");
   }
 
+  private static void write(Response response, HttpResponse httpResponse, CallerExchange exchange) {
+    if (!exchange.beginWrite()) {
+      closeAfterResponse(response);
+    }
+    write(response, httpResponse);
+  }
+
   private static void refuseTooLarge(Response response) {
     String text =
         "{\"code\":\"body-too-large\",\"execution\":\"not-run\","
@@ -134,7 +141,7 @@
     } catch (IOException | RuntimeException callerGone) {
       response.getRequest().getContext().getConnection().closeSilently();
     } finally {
-      DisconnectDetectionFilter.stopWatching(response.getRequest().getContext().getConnection());
+      DisconnectDetectionFilter.endExchange(response.getRequest().getContext().getConnection());
       if (response.isSuspended()) {
         response.resume();
       }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/RequestAttributes.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/RequestAttributes.java
@@ -1,5 +1,6 @@
 package org.corianderweir.logic.traffic;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -12,6 +13,7 @@
  * @param accessKey access key of the caller's organisation
  * @param affinityKey key of the object that the request concerns
  * @param deadlineMilliseconds how long the caller waits, in milliseconds
+ * @param queueTime how long the request waited in this process before it was handled
  */
 public record RequestAttributes(
     String identifier,
@@ -19,4 +21,5 @@
     String path,
     Optional<String> accessKey,
     Optional<String> affinityKey,
-    OptionalLong deadlineMilliseconds) {}
+    OptionalLong deadlineMilliseconds,
+    Duration queueTime) {}
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficDirectorTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficDirectorTest.java
@@ -53,7 +53,7 @@
       String path, Optional<String> key, RejectionReason reason) {
     RequestAttributes attributes =
         new RequestAttributes(
-            "r", "rota.example", path, key, Optional.empty(), OptionalLong.of(10));
+            "r", "rota.example", path, key, Optional.empty(), OptionalLong.of(10), Duration.ZERO);
     Admission admission = director(TrafficFixture.servers("north-a", 2)).admit(attributes, NOW);
     assertEquals(((Admission.Rejected) admission).reason(), reason);
   }
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficFixture.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficFixture.java
@@ -111,6 +111,7 @@
         "/" + route + "/x",
         Optional.of("key-1"),
         Optional.of(affinityKey),
-        OptionalLong.of(4_000));
+        OptionalLong.of(4_000),
+        Duration.ZERO);
   }
 }
