Don't send on requests whose callers have left

Cause: a process that gets little processor time reads requests late. Whether the caller is still there was looked at only after its request had been sent on, when the selector came to the connection again. So each request of a backlog was sent to a server and withdrawn some milliseconds later, and the work for the dead ones delayed the next ones. Fix: the caller's connection itself is asked, by a read that does not block, before a request is admitted (a dead one takes no part of the organisation's rate) and again before each write to a server, also after opening a connection and on a repeat. A request that was not written is told from one that may have run. HttpListenerTest. handlerSeesThatItsCallerHasLeft and HttpClientTest.requestThatIsNotWantedAnyMoreIsNotWritten are new, as are the calls they test.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -188,6 +189,10 @@
   private CompletableFuture<HttpResponse> handleRequest(
       HttpRequest request, CallerConnection caller) {
     RequestAttributes attributes = messages.attributes(request, caller.queueTime());
+    if (!caller.isOpen()) {
+      log.abandonedBeforeAdmission(attributes);
+      return CompletableFuture.failedFuture(new CancellationException("the caller has left"));
+    }
     Admission admission = director.admit(attributes, time.monotonicNanoseconds());
     return switch (admission) {
       case Admission.Rejected rejected -> reject(attributes, rejected);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ForwardedRequest.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ForwardedRequest.java
@@ -1,7 +1,6 @@
 package org.corianderweir.daemon.entry;
 
 import java.time.Duration;
-import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.UnaryOperator;
 import org.corianderweir.http.CallerConnection;
@@ -42,6 +41,7 @@
   private final CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
   private @Nullable CompletableFuture<HttpResponse> exchange;
   private boolean abandoned;
+  private boolean written;
 
   ForwardedRequest(
       HttpRequest callerRequest,
@@ -80,6 +80,17 @@
     return answer;
   }
 
+  /** Returns whether to write the request to a server. If its caller has left, abandons it. */
+  private boolean beginWrite() {
+    if (!caller.isOpen()) {
+      answer.cancel(false);
+    }
+    synchronized (this) {
+      written = !abandoned;
+      return written;
+    }
+  }
+
   private synchronized void abandon() {
     abandoned = true;
     if (exchange != null) {
@@ -108,7 +119,6 @@
 
   private void send(NextStep.Send send) {
     ServerState server = send.server();
-    boolean callerOpen = caller.isOpen();
     long sentNanoseconds = time.monotonicNanoseconds();
     HttpAddress address =
         new HttpAddress(server.registration().host(), server.registration().port());
@@ -116,28 +126,29 @@
         messages.forServer(callerRequest, request, server.registration(), send.timeout());
     Duration idleLimit =
         request.route().idempotent() ? IDEMPOTENT_IDLE_LIMIT : NON_IDEMPOTENT_IDLE_LIMIT;
-    CompletableFuture<HttpResponse> pending;
     synchronized (this) {
+      written = false;
+    }
+    CompletableFuture<HttpResponse> pending =
+        client.exchange(address, forwarded, send.timeout(), idleLimit, this::beginWrite);
+    synchronized (this) {
+      exchange = pending;
       if (abandoned) {
-        pending = CompletableFuture.failedFuture(new CancellationException());
-      } else {
-        pending = client.exchange(address, forwarded, send.timeout(), idleLimit);
-        exchange = pending;
+        pending.cancel(false);
       }
     }
     pending.whenComplete(
-        (response, failure) -> sendEnded(server, callerOpen, sentNanoseconds, response, failure));
+        (response, failure) -> sendEnded(server, sentNanoseconds, response, failure));
   }
 
   private void sendEnded(
       ServerState server,
-      boolean callerOpen,
       long sentNanoseconds,
       @Nullable HttpResponse response,
       @Nullable Throwable failure) {
     SendOutcome outcome = response != null ? messages.outcome(response) : outcome(failure);
     long now = time.monotonicNanoseconds();
-    log.sendEnded(request, server, callerOpen, outcome, sentNanoseconds, now);
+    log.sendEnded(request, server, outcome, sentNanoseconds, now);
     NextStep next = director.sendEnded(request, server, outcome, sentNanoseconds, now);
     if (outcome instanceof SendOutcome.Abandoned) {
       log.abandoned(request, now);
@@ -148,7 +159,7 @@
 
   private synchronized SendOutcome outcome(@Nullable Throwable failure) {
     if (abandoned) {
-      return new SendOutcome.Abandoned();
+      return new SendOutcome.Abandoned(written);
     }
     if (failure instanceof WeirException weirException) {
       if (weirException.code() == ErrorCode.CONNECT_FAILED) {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
@@ -61,7 +61,6 @@
   void sendEnded(
       AdmittedRequest request,
       ServerState server,
-      boolean callerOpen,
       SendOutcome outcome,
       long sentNanoseconds,
       long nowNanoseconds) {
@@ -71,7 +70,7 @@
         EventCode.REQUEST_SENT,
         sanitize(request.attributes().identifier()),
         ("server=%s zone=%s outcome=%s send=%d rank=%d affinity=%s "
-                + "load=%.1f slots=%d failures=%.2f queued=%d caller=%s took=%d")
+                + "load=%.1f slots=%d failures=%.2f queued=%d took=%d")
             .formatted(
                 server.registration().identifier(),
                 server.registration().zone(),
@@ -83,7 +82,6 @@
                 server.registration().slots(),
                 server.failureRatio(nowNanoseconds),
                 request.attributes().queueTime().toMillis(),
-                callerOpen ? "open" : "closed",
                 milliseconds(nowNanoseconds - sentNanoseconds)));
   }
 
@@ -110,15 +108,30 @@
                 milliseconds(request.deadlineNanoseconds() - nowNanoseconds)));
   }
 
+  /** Logs a request that is dropped before admission, because its caller has already left. */
+  void abandonedBeforeAdmission(RequestAttributes attributes) {
+    abandoned(attributes, 0, false, 0);
+  }
+
   void abandoned(AdmittedRequest request, long nowNanoseconds) {
+    abandoned(
+        request.attributes(),
+        request.sendCount(),
+        request.mayHaveRun(),
+        milliseconds(nowNanoseconds - request.arrivedNanoseconds()));
+  }
+
+  private void abandoned(
+      RequestAttributes attributes, int sends, boolean mayHaveRun, long tookMilliseconds) {
     count("requests.abandoned");
+    if (!mayHaveRun) {
+      count("requests.abandoned.unsent");
+    }
     events.record(
-        EventCode.REQUEST_UNKNOWN,
-        sanitize(request.attributes().identifier()),
-        "reason=caller-left queued=%d took=%d"
-            .formatted(
-                request.attributes().queueTime().toMillis(),
-                milliseconds(nowNanoseconds - request.arrivedNanoseconds())));
+        EventCode.CALLER_LEFT,
+        sanitize(attributes.identifier()),
+        "may-have-run=%s sends=%d queued=%d took=%d"
+            .formatted(mayHaveRun, sends, attributes.queueTime().toMillis(), tookMilliseconds));
   }
 
   private void count(String name) {
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
 import org.glassfish.grizzly.Buffer;
@@ -107,7 +108,23 @@
    */
   public CompletableFuture<HttpResponse> exchange(
       HttpAddress address, HttpRequest request, Duration timeout, Duration idleLimit) {
-    HttpExchange exchange = new HttpExchange(address, request);
+    return exchange(address, request, timeout, idleLimit, () -> true);
+  }
+
+  /**
+   * Sends a request as {@link #exchange(HttpAddress, HttpRequest, Duration, Duration)} does, but
+   * only if it is still wanted. Opening a connection can take so long that it is not.
+   *
+   * @param stillWanted asked immediately before the request is written; if it returns false, no
+   *     byte is written and the future is cancelled
+   */
+  public CompletableFuture<HttpResponse> exchange(
+      HttpAddress address,
+      HttpRequest request,
+      Duration timeout,
+      Duration idleLimit,
+      BooleanSupplier stillWanted) {
+    HttpExchange exchange = new HttpExchange(address, request, stillWanted);
     exchange.setDeadlineTask(
         timer.schedule(() -> expire(exchange), timeout.toNanos(), TimeUnit.NANOSECONDS));
     ConnectionPool pool = pool(address);
@@ -233,6 +250,11 @@
 
   @SuppressWarnings({"rawtypes", "unchecked"})
   private void send(HttpExchange exchange, Connection connection) {
+    if (!exchange.isStillWanted()) {
+      exchange.response().cancel(false);
+      connection.closeSilently();
+      return;
+    }
     if (!exchange.beginSend(connection)) {
       connection.closeSilently();
       return;
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpExchange.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpExchange.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
+import java.util.function.BooleanSupplier;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
 import org.glassfish.grizzly.Connection;
@@ -14,6 +15,7 @@
 final class HttpExchange {
   private final HttpAddress address;
   private final HttpRequest request;
+  private final BooleanSupplier stillWanted;
   private final CompletableFuture<HttpResponse> response = new CompletableFuture<>();
   private State state = State.UNSENT;
   private Optional<Connection<?>> connection = Optional.empty();
@@ -25,9 +27,15 @@
     ENDED
   }
 
-  HttpExchange(HttpAddress address, HttpRequest request) {
+  /**
+   * Creates an exchange that has not begun.
+   *
+   * @param stillWanted returns whether the request is still to be written
+   */
+  HttpExchange(HttpAddress address, HttpRequest request, BooleanSupplier stillWanted) {
     this.address = address;
     this.request = request;
+    this.stillWanted = stillWanted;
     response.whenComplete((completed, failure) -> close());
   }
 
@@ -39,6 +47,10 @@
     return request;
   }
 
+  boolean isStillWanted() {
+    return stillWanted.getAsBoolean();
+  }
+
   CompletableFuture<HttpResponse> response() {
     return response;
   }
--- a/weirhttp/src/test/java/org/corianderweir/http/HttpClientTest.java
+++ b/weirhttp/src/test/java/org/corianderweir/http/HttpClientTest.java
@@ -147,6 +147,24 @@
     }
   }
 
+  /** A request was written although its caller had left while its connection was opened. */
+  @Test
+  public void requestThatIsNotWantedAnyMoreIsNotWritten() throws Exception {
+    CompletableFuture<Integer> firstByte = new CompletableFuture<>();
+    try (ScriptedServer server =
+        new ScriptedServer(connection -> firstByte.complete(connection.input().read()))) {
+      CompletableFuture<HttpResponse> response =
+          client.exchange(
+              server.address(),
+              HttpRequest.of("GET", "/"),
+              LONG_TIMEOUT,
+              LONG_TIMEOUT,
+              () -> false);
+      assertEquals(firstByte.get(20, TimeUnit.SECONDS), Integer.valueOf(-1));
+      assertTrue(response.isCancelled());
+    }
+  }
+
   @Test
   public void connectionIsReusedAfterCompleteResponse() throws IOException {
     try (ScriptedServer server =
--- a/weirhttp/src/test/java/org/corianderweir/http/HttpListenerTest.java
+++ b/weirhttp/src/test/java/org/corianderweir/http/HttpListenerTest.java
@@ -1,6 +1,7 @@
 package org.corianderweir.http;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -9,6 +10,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -139,6 +142,77 @@
     assertEquals(handled, List.of());
   }
 
+  @DataProvider
+  public Object[][] departures() {
+    return new Object[][] {{"end", false}, {"reset", true}};
+  }
+
+  /** A close that had arrived during the handling of a request was noticed only after it. */
+  @Test(dataProvider = "departures")
+  public void handlerSeesThatItsCallerHasLeft(String name, boolean reset) throws Exception {
+    CountDownLatch begun = new CountDownLatch(1);
+    CountDownLatch left = new CountDownLatch(1);
+    CompletableFuture<List<Boolean>> open = new CompletableFuture<>();
+    HttpListener observer =
+        new HttpListener(
+            new HttpListenerOptions("observer", "127.0.0.1", 0, BODY_LIMIT_BYTES, 1),
+            (request, caller) -> {
+              boolean before = caller.isOpen();
+              begun.countDown();
+              awaitUninterruptibly(left);
+              open.complete(List.of(before, caller.isOpen()));
+              return CompletableFuture.completedFuture(HttpResponse.json(200, "{}"));
+            });
+    observer.start();
+    try (Socket socket = new Socket("127.0.0.1", observer.port())) {
+      send(socket, "GET /a HTTP/1.1\r\n" + HOST + "\r\n");
+      awaitUninterruptibly(begun);
+      socket.setSoLinger(reset, 0);
+      socket.close();
+      left.countDown();
+      assertEquals(open.get(5, TimeUnit.SECONDS), List.of(true, false), name);
+    } finally {
+      observer.stop(0);
+    }
+  }
+
+  /** A look at the connection drops pipelined bytes, so the connection must not be kept. */
+  @Test
+  public void pipelinedRequestClosesTheConnectionAfterTheResponse() throws Exception {
+    CountDownLatch sent = new CountDownLatch(1);
+    HttpListener observer =
+        new HttpListener(
+            new HttpListenerOptions("observer", "127.0.0.1", 0, BODY_LIMIT_BYTES, 1),
+            (request, caller) -> {
+              awaitUninterruptibly(sent);
+              handled.add(request.target() + " open=" + caller.isOpen());
+              return CompletableFuture.completedFuture(HttpResponse.json(200, "{}"));
+            });
+    observer.start();
+    try (Socket socket = new Socket("127.0.0.1", observer.port())) {
+      socket.setSoTimeout(5_000);
+      send(socket, "GET /a HTTP/1.1\r\n" + HOST + "\r\n");
+      TimeUnit.MILLISECONDS.sleep(200);
+      send(socket, HIDDEN);
+      sent.countDown();
+      String response = readAll(socket.getInputStream());
+      assertEquals(handled, List.of("/a open=true"), response);
+      assertTrue(response.contains("Connection: close"), response);
+    } finally {
+      observer.stop(0);
+    }
+  }
+
+  private static void awaitUninterruptibly(CountDownLatch latch) {
+    try {
+      if (!latch.await(5, TimeUnit.SECONDS)) {
+        throw new AssertionError("did not happen");
+      }
+    } catch (InterruptedException interrupted) {
+      throw new AssertionError(interrupted);
+    }
+  }
+
   private String exchange(String request) throws IOException {
     try (Socket socket = new Socket("127.0.0.1", listener.port())) {
       socket.setSoTimeout(5_000);
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/SendOutcome.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/SendOutcome.java
@@ -28,8 +28,12 @@
   /** No answer came in time. */
   record TimedOut() implements SendOutcome {}
 
-  /** The caller closed the connection before the answer. */
-  record Abandoned() implements SendOutcome {}
+  /**
+   * The caller closed the connection before the answer.
+   *
+   * @param written whether a part of the request may have been written
+   */
+  record Abandoned(boolean written) implements SendOutcome {}
 
   /**
    * The load that a server reports with an answer.
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -183,8 +183,12 @@
         request.recordUncertainOutcome();
         yield new NextStep.Fail(true);
       }
-      case SendOutcome.Abandoned unused -> {
-        request.recordUncertainOutcome();
+      case SendOutcome.Abandoned abandoned -> {
+        if (abandoned.written()) {
+          request.recordUncertainOutcome();
+        } else {
+          request.recordNotRun(false);
+        }
         yield new NextStep.Fail(false);
       }
     };
--- a/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
+++ b/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
@@ -54,6 +54,8 @@
   REQUEST_ANSWERED(4003, Severity.DEBUG, "Request answered"),
   /** The outcome of a request is unknown. */
   REQUEST_UNKNOWN(4004, Severity.WARNING, "Request outcome unknown"),
+  /** A caller closed its connection before its request was answered. */
+  CALLER_LEFT(4005, Severity.DEBUG, "Caller left"),
   /** The traffic of a selector has the shares of its destinations; no shift is in progress. */
   SHIFT_SETTLED(4501, Severity.INFO, "Shift settled"),
   /** The traffic of a selector is moving at the rate of its cap. */
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficDirectorTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficDirectorTest.java
@@ -104,6 +104,24 @@
     }
   }
 
+  @DataProvider
+  public Object[][] departures() {
+    return new Object[][] {{false, 0}, {true, 1}};
+  }
+
+  /** A request may have run only if it was written before its caller left. */
+  @Test(dataProvider = "departures")
+  public void abandonedRequestMayHaveRunOnlyIfItWasWritten(boolean written, int sends) {
+    TrafficDirector director = director(TrafficFixture.servers("north-a", 2));
+    AdmittedRequest request = admit(director, "read", "1");
+    NextStep.Send send = (NextStep.Send) director.nextStep(request, NOW);
+    SendOutcome abandoned = new SendOutcome.Abandoned(written);
+    director.sendEnded(request, send.server(), abandoned, NOW, NOW + MILLISECOND);
+    assertEquals(
+        List.of(request.mayHaveRun(), request.sendCount(), send.server().load(NOW + MILLISECOND)),
+        List.of(written, sends, 0.0));
+  }
+
   @DataProvider
   public Object[][] outcomes() {
     SendOutcome notRun = new SendOutcome.NotRun(false, NO_REPORT);
