The product's own path doesn't deliver requests whose callers have left either

The caller's connection is asked before authorisation and before each write. A request with an identifier goes on, as promised (RunOnceGate), because its caller may be about to repeat it. DeliveryTest.requestsHandledAfterTheirCallersLeftAreNotDelivered failed before (a request of a caller that had left reached the server) and passes; DeliveryTest, RunOnceTest and CapacityAdmissionTest pass.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Delivery.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Delivery.java
@@ -233,7 +233,8 @@
           client.exchange(
               new HttpAddress(server.host(), server.port()),
               messages.toBackendRequest(context, remainingNanoseconds),
-              Duration.ofNanos(remainingNanoseconds));
+              Duration.ofNanos(remainingNanoseconds),
+              this::isWanted);
       result.whenComplete((response, failure) -> exchange.cancel(false));
       exchange.whenComplete(
           (response, failure) -> {
@@ -247,6 +248,14 @@
           });
     }
 
+    private boolean isWanted() {
+      if (context.isWanted()) {
+        return true;
+      }
+      result.cancel(false);
+      return false;
+    }
+
     private void onExchangeEnded(
         BackendServer server,
         @Nullable HttpResponse response,
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Refusals.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Refusals.java
@@ -1,6 +1,8 @@
 package org.corianderweir.daemon.traffic;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletableFuture;
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.http.HttpResponse;
 import org.corianderweir.model.request.Execution;
@@ -46,6 +48,13 @@
     return buildResponse(reason, execution, message);
   }
 
+  /** Records that a caller left before its request was delivered; nobody gets a response. */
+  CompletableFuture<HttpResponse> callerLeft(String requestName) {
+    metrics.meter("requests.abandoned").mark();
+    events.record(EventCode.CALLER_LEFT, requestName, "may-have-run=false");
+    return CompletableFuture.failedFuture(new CancellationException("the caller has left"));
+  }
+
   private HttpResponse buildResponse(RefusalReason reason, Execution execution, String message) {
     HttpResponse response =
         HttpResponse.json(reason.httpStatus(), Json.write(Refusal.of(reason, execution, message)))
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestContext.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestContext.java
@@ -1,6 +1,7 @@
 package org.corianderweir.daemon.traffic;
 
 import java.util.Optional;
+import org.corianderweir.http.CallerConnection;
 import org.corianderweir.http.HttpRequest;
 import org.corianderweir.logic.delivery.RequestIdentifier;
 import org.corianderweir.model.configuration.Selector;
@@ -9,6 +10,7 @@
  * A request and the data that its processing needs.
  *
  * @param request the request as the caller sent it
+ * @param caller the connection of the caller
  * @param snapshot the configuration that applies to the request
  * @param selector the selector that matches the request
  * @param organisation the organisation of the caller's key; empty on an open route
@@ -19,6 +21,7 @@
  */
 record RequestContext(
     HttpRequest request,
+    CallerConnection caller,
     TrafficSnapshot snapshot,
     Selector selector,
     Optional<String> organisation,
@@ -28,6 +31,21 @@
 
   RequestContext withOrganisation(String accepted) {
     return new RequestContext(
-        request, snapshot, selector, Optional.of(accepted), name, identifier, deadlineNanoseconds);
+        request,
+        caller,
+        snapshot,
+        selector,
+        Optional.of(accepted),
+        name,
+        identifier,
+        deadlineNanoseconds);
+  }
+
+  /**
+   * Returns whether the request is still to be delivered. A request with an identifier is delivered
+   * although its caller has left, because the caller may be about to repeat it.
+   */
+  boolean isWanted() {
+    return identifier.isPresent() || caller.isOpen();
   }
 }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestPipeline.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestPipeline.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
+import org.corianderweir.http.CallerConnection;
 import org.corianderweir.http.HttpRequest;
 import org.corianderweir.http.HttpResponse;
 import org.corianderweir.kernel.TimeSource;
@@ -59,7 +60,8 @@
     this.requests = metrics.meter("requests");
   }
 
-  CompletableFuture<HttpResponse> handle(HttpRequest request, TrafficSnapshot snapshot) {
+  CompletableFuture<HttpResponse> handle(
+      HttpRequest request, CallerConnection caller, TrafficSnapshot snapshot) {
     requests.mark();
     String name =
         request
@@ -92,6 +94,7 @@
           authorise(
               new RequestContext(
                   request,
+                  caller,
                   snapshot,
                   found.selector(),
                   Optional.empty(),
@@ -102,6 +105,9 @@
   }
 
   private CompletableFuture<HttpResponse> authorise(RequestContext context) {
+    if (!context.isWanted()) {
+      return refusals.callerLeft(context.name());
+    }
     Selector selector = context.selector();
     if (selector.open()) {
       return runOnce(context);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
@@ -15,6 +15,7 @@
 import org.corianderweir.daemon.settings.DaemonSettings;
 import org.corianderweir.daemon.steering.CapacityLimiter;
 import org.corianderweir.daemon.steering.SteeringService;
+import org.corianderweir.http.CallerConnection;
 import org.corianderweir.http.HttpClient;
 import org.corianderweir.http.HttpClientOptions;
 import org.corianderweir.http.HttpListener;
@@ -200,9 +201,9 @@
     return drains.states(delivery::inFlight, time.wallMilliseconds());
   }
 
-  private CompletableFuture<HttpResponse> handle(HttpRequest request) {
+  private CompletableFuture<HttpResponse> handle(HttpRequest request, CallerConnection caller) {
     openRequests.incrementAndGet();
-    CompletableFuture<HttpResponse> response = route(request);
+    CompletableFuture<HttpResponse> response = route(request, caller);
     response.whenComplete((completed, failure) -> openRequests.decrementAndGet());
     return membership.state() == InstanceState.LEAVING ? withConnectionClose(response) : response;
   }
@@ -218,7 +219,7 @@
     return last;
   }
 
-  private CompletableFuture<HttpResponse> route(HttpRequest request) {
+  private CompletableFuture<HttpResponse> route(HttpRequest request, CallerConnection caller) {
     if (membership.state() == InstanceState.JOINING) {
       return CompletableFuture.completedFuture(notServing(request));
     }
@@ -228,7 +229,7 @@
     if (request.path().equals(RunOnceGate.ISSUE_PATH)) {
       return CompletableFuture.completedFuture(runOnceGate.issue(request));
     }
-    return pipeline.handle(request, snapshot);
+    return pipeline.handle(request, caller, snapshot);
   }
 
   private HttpResponse notServing(HttpRequest request) {
--- a/weirdaemon/src/test/java/org/corianderweir/daemon/traffic/DeliveryTest.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/traffic/DeliveryTest.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -132,6 +134,31 @@
     }
   }
 
+  /** Requests that were read late were delivered although their callers' closes had arrived. */
+  @Test
+  public void requestsHandledAfterTheirCallersLeftAreNotDelivered() throws Exception {
+    try (FakeBackendServer backend = new FakeBackendServer("server", FakeBackendServer::answer);
+        TestEntryInstance entry =
+            new TestEntryInstance(
+                "entry", TestEntryInstance.noMembers(), List.of(backend.server()))) {
+      entry.pause();
+      for (int caller = 0; caller < 20; caller++) {
+        try (Socket socket = new Socket("127.0.0.1", entry.port())) {
+          socket
+              .getOutputStream()
+              .write(
+                  "GET /gone HTTP/1.1\r\nHost: here\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        }
+      }
+      TimeUnit.MILLISECONDS.sleep(300);
+      entry.resume();
+      assertEquals(entry.call("GET", "/present", HttpHeaders.NONE).status(), 200);
+      TimeUnit.MILLISECONDS.sleep(300);
+      List<String> delivered = backend.receivedRequests.stream().map(HttpRequest::path).toList();
+      assertEquals(delivered, List.of("/present"));
+    }
+  }
+
   /** When the caller disconnects, the connection to the backend server is closed too. */
   @Test
   public void callerThatGoesAwayFreesItsPlace() throws InterruptedException {
--- a/weirdaemon/src/test/java/org/corianderweir/daemon/traffic/TestEntryInstance.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/traffic/TestEntryInstance.java
@@ -7,10 +7,12 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.corianderweir.daemon.SystemTimeSource;
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.daemon.steering.CapacityPermit;
+import org.corianderweir.http.CallerConnection;
 import org.corianderweir.http.HttpAddress;
 import org.corianderweir.http.HttpClient;
 import org.corianderweir.http.HttpClientOptions;
@@ -51,6 +53,7 @@
   private final String name;
   private final HttpClient client = new HttpClient(options());
   private final HttpListener listener;
+  private volatile CountDownLatch resumption = new CountDownLatch(0);
   private final RequestPipeline pipeline;
   private final RunOnceGate runOnceGate;
   private final TrafficSnapshot snapshot;
@@ -150,10 +153,28 @@
     client.stop();
   }
 
-  private CompletableFuture<HttpResponse> handle(HttpRequest request) {
+  /** Holds the threads that handle requests until the entry instance is resumed. */
+  void pause() {
+    resumption = new CountDownLatch(1);
+  }
+
+  void resume() {
+    resumption.countDown();
+  }
+
+  int port() {
+    return listener.port();
+  }
+
+  private CompletableFuture<HttpResponse> handle(HttpRequest request, CallerConnection caller) {
+    try {
+      resumption.await();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
     return request.path().equals(RunOnceGate.ISSUE_PATH)
         ? CompletableFuture.completedFuture(runOnceGate.issue(request))
-        : pipeline.handle(request, snapshot);
+        : pipeline.handle(request, caller, snapshot);
   }
 
   private CompletableFuture<AdmissionDecision> admit(
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
@@ -111,6 +111,12 @@
     return exchange(address, request, timeout, idleLimit, () -> true);
   }
 
+  /** Sends a request that must be wanted when it is written, over any idle connection. */
+  public CompletableFuture<HttpResponse> exchange(
+      HttpAddress address, HttpRequest request, Duration timeout, BooleanSupplier stillWanted) {
+    return exchange(address, request, timeout, options.idleTimeout(), stillWanted);
+  }
+
   /**
    * Sends a request as {@link #exchange(HttpAddress, HttpRequest, Duration, Duration)} does, but
    * only if it is still wanted. Opening a connection can take so long that it is not.
