Bodies of servers' answers that never end can't use up the memory together

One such answer was cut off before: the new HttpClientTest.responseWithoutEndIsCutOff passes for eleven kinds, in the head and in the body. But each answer may hold 8 MB, so many at once ended the process: with the daemon's heap of 96 MB, 40 endless bodies gave OutOfMemoryError and, as it is started, the end of the process (trial with a server on a plain socket). Cause: a limit for each body, none for all together, and a buffer that is copied when it grows.

--- a/weirhttp/src/main/java/org/corianderweir/http/ExchangeFilter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ExchangeFilter.java
@@ -1,6 +1,5 @@
 package org.corianderweir.http;
 
-import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.util.ArrayList;
 import java.util.List;
@@ -29,8 +28,9 @@
 
   private final HttpClientOptions options;
   private final BiConsumer<HttpAddress, Connection<?>> release;
+  private final BufferBudget bodyBudget;
 
-  private record Pending(HttpExchange exchange, ByteArrayOutputStream body) {}
+  private record Pending(HttpExchange exchange, BodyBuffer body) {}
 
   /**
    * Creates the filter.
@@ -40,10 +40,12 @@
   ExchangeFilter(HttpClientOptions options, BiConsumer<HttpAddress, Connection<?>> release) {
     this.options = options;
     this.release = release;
+    bodyBudget = new BufferBudget(options.bufferLimitBytes());
   }
 
-  static void begin(Connection<?> connection, HttpExchange exchange) {
-    PENDING.set(connection, new Pending(exchange, new ByteArrayOutputStream()));
+  void begin(Connection<?> connection, HttpExchange exchange) {
+    BodyBuffer body = new BodyBuffer(options.responseLimitBytes(), bodyBudget);
+    PENDING.set(connection, new Pending(exchange, body));
   }
 
   @Override
@@ -66,14 +68,15 @@
     Buffer buffer = content.getContent();
     byte[] bytes = new byte[buffer.remaining()];
     buffer.get(bytes);
-    pending.body().writeBytes(bytes);
-    if (pending.body().size() > options.responseLimitBytes()) {
-      abandon(connection, pending, "the response body is above the size limit");
+    BodyBuffer.Addition addition = pending.body().add(bytes);
+    if (addition != BodyBuffer.Addition.ADDED) {
+      abandon(connection, pending, describe(addition));
       return context.getStopAction();
     }
     if (content.isLast()) {
       PENDING.remove(connection);
       finish(context, pending, head);
+      pending.body().release();
     }
     return context.getStopAction();
   }
@@ -122,6 +125,7 @@
     if (pending == null) {
       return context.getInvokeAction();
     }
+    pending.body().release();
     failLost(pending, "the connection was closed before the response was complete");
     return context.getInvokeAction();
   }
@@ -130,6 +134,7 @@
   public void exceptionOccurred(FilterChainContext context, Throwable failure) {
     Pending pending = PENDING.remove(context.getConnection());
     if (pending != null) {
+      pending.body().release();
       pending.exchange().fail(ErrorCode.ANSWER_LOST, "the response is malformed", failure);
     }
     context.getConnection().closeSilently();
@@ -137,9 +142,18 @@
 
   private static void abandon(Connection<?> connection, Pending pending, String reason) {
     PENDING.remove(connection);
+    pending.body().release();
     failLost(pending, reason);
   }
 
+  private static String describe(BodyBuffer.Addition addition) {
+    return switch (addition) {
+      case ADDED -> "the response body was read";
+      case BODY_TOO_LARGE -> "the response body is above the size limit";
+      case BUDGET_EXHAUSTED -> "the response bodies together are above the memory limit";
+    };
+  }
+
   private static void failLost(Pending pending, String reason) {
     pending.exchange().fail(ErrorCode.ANSWER_LOST, reason, new EOFException(reason));
   }
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
@@ -45,12 +45,14 @@
 
   private final HttpClientOptions options;
   private final TCPNIOTransport transport;
+  private final ExchangeFilter exchangeFilter;
   private final ScheduledThreadPoolExecutor timer;
   private final Map<HttpAddress, ConnectionPool> pools = new ConcurrentHashMap<>();
 
   /** Creates a client without starting it. */
   public HttpClient(HttpClientOptions options) {
     this.options = options;
+    exchangeFilter = new ExchangeFilter(options, this::release);
     transport = TCPNIOTransportBuilder.newInstance().setTcpNoDelay(true).build();
     // The filters never block, so no worker threads are needed.
     transport.setIOStrategy(SameThreadIOStrategy.getInstance());
@@ -59,7 +61,7 @@
         FilterChainBuilder.stateless()
             .add(new TransportFilter())
             .add(new StrictClientFilter())
-            .add(new ExchangeFilter(options, this::release))
+            .add(exchangeFilter)
             .build());
     timer = new ScheduledThreadPoolExecutor(1, this::timerThread);
     timer.setRemoveOnCancelPolicy(true);
@@ -265,7 +267,7 @@
       connection.closeSilently();
       return;
     }
-    ExchangeFilter.begin(connection, exchange);
+    exchangeFilter.begin(connection, exchange);
     connection.write(
         toRequestPacket(exchange),
         new EmptyCompletionHandler<Object>() {
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpClientOptions.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpClientOptions.java
@@ -28,6 +28,9 @@
     Optional<String> echoHeader) {
   private static final int DEFAULT_CONNECTIONS_PER_ADDRESS = 256;
 
+  /** Response bodies of the largest size that are held in memory at the same time. */
+  private static final int LARGEST_BODY_COUNT = 2;
+
   /** Creates options that let the system choose the local address. */
   public HttpClientOptions(
       String name, Duration connectTimeout, Duration idleTimeout, int responseLimitBytes) {
@@ -42,6 +45,11 @@
         Optional.empty());
   }
 
+  /** Returns the largest size of all response bodies that are being read, in bytes. */
+  long bufferLimitBytes() {
+    return (long) LARGEST_BODY_COUNT * responseLimitBytes;
+  }
+
   /** Returns the same options with the given local IP address of connections. */
   public HttpClientOptions withLocalHost(String host) {
     return new HttpClientOptions(
--- a/weirhttp/src/test/java/org/corianderweir/http/HttpClientTest.java
+++ b/weirhttp/src/test/java/org/corianderweir/http/HttpClientTest.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -147,6 +148,95 @@
     }
   }
 
+  @DataProvider
+  public Object[][] endlessResponses() {
+    String chunked = STATUS_LINE_OK + "Transfer-Encoding: chunked\r\n\r\n";
+    return new Object[][] {
+      {"status line", "HTTP/1.1 200 ", "O"},
+      {"header field", STATUS_LINE_OK + "X: ", "x"},
+      {"header fields", STATUS_LINE_OK, "X: x\r\n"},
+      {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"chunk size", chunked, "0"},
+      {"chunk extension", chunked + "1;", "x"},
+      {"chunks", chunked, "1\r\nx\r\n"},
+      {"trailer field", chunked + "0\r\nX: ", "x"},
+      {"trailer fields", chunked + "0\r\n", "X: x\r\n"},
+      {"body", STATUS_LINE_OK + "Content-Length: 9000000000000000\r\n\r\n", "x"},
+      {"body without length", STATUS_LINE_OK + "\r\n", "x"}
+    };
+  }
+
+  /** A server may send bytes without end; the client must close the connection by itself. */
+  @Test(dataProvider = "endlessResponses")
+  public void responseWithoutEndIsCutOff(String name, String start, String repeated)
+      throws Exception {
+    CountDownLatch closed = new CountDownLatch(1);
+    String block = repeated.repeat(1_000);
+    try (ScriptedServer server =
+        new ScriptedServer(
+            connection -> {
+              connection.read();
+              connection.write(start);
+              try {
+                while (true) {
+                  connection.write(block);
+                }
+              } finally {
+                closed.countDown();
+              }
+            })) {
+      assertEquals(outcome(server.address(), LONG_TIMEOUT), "ANSWER_LOST", name);
+      assertTrue(closed.await(5, TimeUnit.SECONDS), name);
+    }
+  }
+
+  /** Many large bodies at the same time used up the memory of the process. */
+  @Test
+  public void unfinishedBodiesTogetherAreBounded() throws Exception {
+    int limitBytes = 1024 * 1024;
+    HttpClient largeClient =
+        new HttpClient(
+            new HttpClientOptions("large", LONG_TIMEOUT, LONG_TIMEOUT, limitBytes)
+                .withConnectionsPerAddress(20));
+    largeClient.start();
+    String head = STATUS_LINE_OK + "Content-Length: " + limitBytes + "\r\n\r\n";
+    List<CompletableFuture<HttpResponse>> responses = new ArrayList<>();
+    try (ScriptedServer server =
+            new ScriptedServer(
+                connection -> {
+                  connection.read();
+                  connection.write(head + "x".repeat(limitBytes - 1));
+                  connection.awaitClose();
+                });
+        ScriptedServer soundServer =
+            new ScriptedServer(
+                connection -> {
+                  connection.read();
+                  connection.respond("sound");
+                })) {
+      for (int number = 0; number < 16; number++) {
+        responses.add(
+            largeClient.exchange(server.address(), HttpRequest.of("GET", "/"), LONG_TIMEOUT));
+      }
+      long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+      while (pendingCount(responses) > 2 && System.nanoTime() < deadline) {
+        TimeUnit.MILLISECONDS.sleep(10);
+      }
+      String sound =
+          largeClient
+              .exchange(soundServer.address(), HttpRequest.of("GET", "/"), LONG_TIMEOUT)
+              .get(20, TimeUnit.SECONDS)
+              .bodyText();
+      assertEquals(List.of(pendingCount(responses) <= 2, sound), List.of(true, "sound"));
+    } finally {
+      largeClient.stop();
+    }
+  }
+
+  private static long pendingCount(List<CompletableFuture<HttpResponse>> responses) {
+    return responses.stream().filter(response -> !response.isDone()).count();
+  }
+
   /** A request was written although its caller had left while its connection was opened. */
   @Test
   public void requestThatIsNotWantedAnyMoreIsNotWritten() throws Exception {
