Large bodies of callers can't use up the memory together

Request bodies use the same segments and a budget of two bodies of the largest size; a request beyond it is refused at once with 503, not run, Retry-After 1. The memory goes back when the request is answered or its connection closes. HttpListenerTest.unfinishedBodiesTogetherAreBounded failed before (8 of 8 unfinished bodies of 1 MiB held, none refused) and passes (6 refused, a small one served meanwhile, a large one after they left).

--- a/weirhttp/src/main/java/org/corianderweir/http/HttpRequestAdapter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpRequestAdapter.java
@@ -1,11 +1,10 @@
 package org.corianderweir.http;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.glassfish.grizzly.CloseListener;
@@ -23,15 +22,25 @@
 final class HttpRequestAdapter extends HttpHandler {
   private static final int STATUS_TOO_LARGE = 413;
   private static final int STATUS_INTERNAL_SERVER_ERROR = 500;
+  private static final int STATUS_UNAVAILABLE = 503;
+
+  /** Request bodies of the largest size that are held in memory at the same time. */
+  private static final int LARGEST_BODY_COUNT = 2;
+
+  /** Seconds after which a caller may send a body again for which there was no memory. */
+  private static final String RETRY_AFTER_SECONDS = "1";
+
   private static final Set<String> FRAMING_HEADERS =
       Set.of("content-length", "transfer-encoding", "connection");
 
   private final CallerRequestHandler requestHandler;
   private final int bodyLimitBytes;
+  private final BufferBudget bodyBudget;
 
   HttpRequestAdapter(CallerRequestHandler requestHandler, int bodyLimitBytes) {
     this.requestHandler = requestHandler;
     this.bodyLimitBytes = bodyLimitBytes;
+    bodyBudget = new BufferBudget((long) LARGEST_BODY_COUNT * bodyLimitBytes);
     setAllowEncodedSlash(true);
   }
 
@@ -43,20 +52,23 @@
       return;
     }
     NIOInputStream input = request.getNIOInputStream();
-    input.notifyAvailable(new BodyReader(request, response, input));
+    BodyReader reader = new BodyReader(request, response, input);
+    request.getContext().getConnection().addCloseListener(reader);
+    input.notifyAvailable(reader);
   }
 
-  private void dispatch(Request request, Response response, byte[] body) {
+  private void dispatch(Request request, Response response, BodyBuffer body) {
     Connection<?> connection = request.getContext().getConnection();
     ConnectionGuard.onRequestRead(connection);
     CallerExchange exchange =
         DisconnectDetectionFilter.beginHandling(connection, System.nanoTime());
     CompletableFuture<HttpResponse> result;
     try {
-      result = requestHandler.handle(toHttpRequest(request, body), exchange);
+      result = requestHandler.handle(toHttpRequest(request, body.toByteArray()), exchange);
     } catch (RuntimeException failure) {
       result = CompletableFuture.failedFuture(failure);
     }
+    result.whenComplete((completed, failure) -> body.release());
     if (result.isDone()) {
       write(response, responseOrInternalError(result), exchange);
       return;
@@ -108,15 +120,22 @@
   }
 
   private static void refuseTooLarge(Response response) {
+    refuse(response, STATUS_TOO_LARGE, "body-too-large", "the body is above the limit");
+  }
+
+  private static void refuse(Response response, int status, String code, String message) {
     String text =
-        "{\"code\":\"body-too-large\",\"execution\":\"not-run\","
-            + "\"message\":\"the body is above the limit\"}";
+        "{\"code\":\"%s\",\"execution\":\"not-run\",\"message\":\"%s\"}".formatted(code, message);
     closeAfterResponse(response);
+    HttpResponse refusal =
+        HttpResponse.json(status, text)
+            .withHeader("Weir-Refusal", code)
+            .withHeader("Weir-Execution", "not-run");
     write(
         response,
-        HttpResponse.json(STATUS_TOO_LARGE, text)
-            .withHeader("Weir-Refusal", "body-too-large")
-            .withHeader("Weir-Execution", "not-run"));
+        status == STATUS_UNAVAILABLE
+            ? refusal.withHeader("Retry-After", RETRY_AFTER_SECONDS)
+            : refusal);
   }
 
   private static void write(Response response, HttpResponse httpResponse) {
@@ -158,11 +177,11 @@
   }
 
   /** Reads a request body up to the size limit and then dispatches the request. */
-  private final class BodyReader implements ReadHandler {
+  private final class BodyReader implements ReadHandler, CloseListener<Closeable, ICloseType> {
     private final Request request;
     private final Response response;
     private final NIOInputStream input;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final BodyBuffer body = new BodyBuffer(bodyLimitBytes, bodyBudget);
 
     BodyReader(Request request, Response response, NIOInputStream input) {
       this.request = request;
@@ -172,15 +191,22 @@
 
     @Override
     public void onDataAvailable() throws IOException {
-      if (readAvailable().isPresent()) {
+      if (readAvailable()) {
         input.notifyAvailable(this);
       }
     }
 
     @Override
     public void onAllDataRead() throws IOException {
-      Optional<ByteArrayOutputStream> complete = readAvailable();
-      complete.ifPresent(bytes -> dispatch(request, response, bytes.toByteArray()));
+      if (readAvailable()) {
+        request.getContext().getConnection().removeCloseListener(this);
+        dispatch(request, response, body);
+      }
+    }
+
+    @Override
+    public void onClosed(Closeable closeable, ICloseType type) {
+      body.release();
     }
 
     @Override
@@ -191,20 +217,30 @@
       }
     }
 
-    private Optional<ByteArrayOutputStream> readAvailable() throws IOException {
+    /** Reads what is available; returns false if the request was refused. */
+    private boolean readAvailable() throws IOException {
       while (input.isReady()) {
         byte[] chunk = new byte[Math.max(1, input.readyData())];
         int count = input.read(chunk);
         if (count <= 0) {
           break;
         }
-        body.write(chunk, 0, count);
-        if (body.size() > bodyLimitBytes) {
-          refuseTooLarge(response);
-          return Optional.empty();
+        switch (body.add(Arrays.copyOf(chunk, count))) {
+          case ADDED -> {}
+          case BODY_TOO_LARGE -> {
+            body.release();
+            refuseTooLarge(response);
+            return false;
+          }
+          case BUDGET_EXHAUSTED -> {
+            body.release();
+            refuse(
+                response, STATUS_UNAVAILABLE, "no-memory", "too many large bodies are being read");
+            return false;
+          }
         }
       }
-      return Optional.of(body);
+      return true;
     }
   }
 }
--- a/weirhttp/src/test/java/org/corianderweir/http/HttpListenerTest.java
+++ b/weirhttp/src/test/java/org/corianderweir/http/HttpListenerTest.java
@@ -7,6 +7,7 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -142,6 +143,41 @@
     assertEquals(handled, List.of());
   }
 
+  /** Many large bodies of callers at the same time used up the memory of the process. */
+  @Test
+  public void unfinishedBodiesTogetherAreBounded() throws Exception {
+    int limitBytes = 1024 * 1024;
+    HttpListener large =
+        new HttpListener(
+            new HttpListenerOptions("large", "127.0.0.1", 0, limitBytes, 2), this::handle);
+    large.start();
+    String head = "POST /a HTTP/1.1\r\n" + HOST + "Content-Length: ";
+    String unfinished = head + limitBytes + "\r\n\r\n" + "x".repeat(limitBytes - 1);
+    List<Socket> callers = new ArrayList<>();
+    try {
+      int refused = 0;
+      for (int caller = 0; caller < 8; caller++) {
+        Socket socket = new Socket("127.0.0.1", large.port());
+        socket.setSoTimeout(500);
+        callers.add(socket);
+        send(socket, unfinished);
+        refused += readAll(socket.getInputStream()).contains(" 503 ") ? 1 : 0;
+      }
+      String small = exchange(large.port(), head + "2\r\n" + CLOSE + "\r\nab");
+      assertEquals(List.of(refused, small.contains(" 200 ")), List.of(6, true));
+      for (Socket caller : callers) {
+        caller.close();
+      }
+      TimeUnit.MILLISECONDS.sleep(300);
+      String afterwards =
+          exchange(
+              large.port(), head + limitBytes + "\r\n" + CLOSE + "\r\n" + "x".repeat(limitBytes));
+      assertTrue(afterwards.contains(" 200 "), afterwards);
+    } finally {
+      large.stop(0);
+    }
+  }
+
   @DataProvider
   public Object[][] departures() {
     return new Object[][] {{"end", false}, {"reset", true}};
@@ -214,7 +250,11 @@
   }
 
   private String exchange(String request) throws IOException {
-    try (Socket socket = new Socket("127.0.0.1", listener.port())) {
+    return exchange(listener.port(), request);
+  }
+
+  private static String exchange(int port, String request) throws IOException {
+    try (Socket socket = new Socket("127.0.0.1", port)) {
       socket.setSoTimeout(5_000);
       send(socket, request);
       return readAll(socket.getInputStream());
