The log of a rate rejection tells the share that decided it

A question of the users' observation: after a loss of power of all instances one refused an organisation with OVER_LIMIT asked=0.0 instances=1 part=0.056, without demand. The line misled: part was the equal share, while half of it decides until the demand of the others is known, and asked and instances told of nothing received yet as of a quiet fleet. part is now the share that decided, and digest= says how old the knowledge of the others is, or none. The refusal itself is meant: an instance that has just started can't tell a fleet that starts again from one that it is cut off from, and the limit holds over both. RateShareTest.aRejectionTellsTheShareThatDecidedIt is new; RateShareTest and TrafficDirectorTest pass.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
@@ -139,13 +139,14 @@
   }
 
   private static String describe(RateLimitSnapshot snapshot) {
-    return " organisation=%s limit=%.1f asked=%.1f instances=%d part=%.3f"
+    return " organisation=%s limit=%.1f asked=%.1f instances=%d part=%.3f digest=%s"
         .formatted(
             snapshot.organisation(),
             snapshot.limitPerSecond(),
             snapshot.demandPerSecond(),
             snapshot.instances(),
-            snapshot.share());
+            snapshot.share(),
+            snapshot.digestAge().map(age -> Long.toString(age.toMillis())).orElse("none"));
   }
 
   private static long milliseconds(long nanoseconds) {
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/RateShare.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/RateShare.java
@@ -1,6 +1,7 @@
 package org.corianderweir.logic.traffic;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.corianderweir.model.traffic.CallerOrganisation;
 
@@ -65,6 +66,7 @@
   private boolean digestReceived;
   private double tokens;
   private double lastShare;
+  private double usedShare;
   private long updatedNanoseconds;
 
   RateShare(
@@ -72,6 +74,7 @@
     this.bounds = bounds;
     updateLimit(organisation);
     lastShare = 1.0 / instances;
+    usedShare = lastShare;
     tokens = capacity(lastShare);
     updatedNanoseconds = nowNanoseconds;
   }
@@ -84,10 +87,10 @@
   Duration tryAcquire(CallerOrganisation organisation, int instances, long nowNanoseconds) {
     demand.add(nowNanoseconds);
     updateLimit(organisation);
-    double share = share(instances, nowNanoseconds);
-    double tokensPerSecond = limitPerSecond * share;
+    usedShare = share(instances, nowNanoseconds);
+    double tokensPerSecond = limitPerSecond * usedShare;
     double elapsed = Math.max(0, nowNanoseconds - updatedNanoseconds) / NANOSECONDS_PER_SECOND;
-    tokens = Math.min(capacity(share), tokens + elapsed * tokensPerSecond);
+    tokens = Math.min(capacity(usedShare), tokens + elapsed * tokensPerSecond);
     updatedNanoseconds = nowNanoseconds;
     if (tokens - 1 >= -allowedOverdraft(instances, nowNanoseconds)) {
       tokens -= 1;
@@ -126,7 +129,10 @@
         organisation.requestsPerSecond(),
         fleetDemand,
         reportingInstances,
-        lastShare);
+        usedShare,
+        digestReceived
+            ? Optional.of(Duration.ofNanos(updatedNanoseconds - digestNanoseconds))
+            : Optional.empty());
   }
 
   private void updateLimit(CallerOrganisation organisation) {
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/RateShareTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/RateShareTest.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.corianderweir.model.traffic.CallerOrganisation;
@@ -136,6 +137,21 @@
     assertTrue(admitted <= bound, admitted + " of " + bound);
   }
 
+  /** The log of a rejection named a larger share than the one that decided. */
+  @Test
+  public void aRejectionTellsTheShareThatDecidedIt() {
+    CallerOrganisation organisation = TrafficFixture.organisation(180, 1, Set.of());
+    RateShare share = new RateShare(organisation, BOUNDS, INSTANCE_COUNT, 0);
+    share.tryAcquire(organisation, INSTANCE_COUNT, 0);
+    RateLimitSnapshot withoutDigest = share.snapshot(organisation);
+    share.updateFleetDemand(9, 90, INSTANCE_COUNT, 100 * MILLISECOND);
+    share.tryAcquire(organisation, INSTANCE_COUNT, 150 * MILLISECOND);
+    assertEquals(
+        List.of(withoutDigest.share(), withoutDigest.digestAge()),
+        List.of(0.5 / INSTANCE_COUNT, Optional.empty()));
+    assertEquals(share.snapshot(organisation).digestAge(), Optional.of(Duration.ofMillis(50)));
+  }
+
   @Test
   public void aRejectionGivesTheRetryDelay() {
     CallerOrganisation organisation = TrafficFixture.organisation(18, 1, Set.of());
