--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -216,17 +216,18 @@
    */
   public static void main(String[] arguments) throws InterruptedException {
     Map<String, Command> commands =
-        Map.of(
-            "platform", new PlatformCommand(),
-            "backend", new BackendCommand(),
-            "demo", new DemoCommand(),
-            "limits-experiment", new LimitsCommand(),
-            "run", new RunCommand(),
-            "in-force", new InForceCommand(),
-            "look-up", new LookupCommand(),
-            "benchmark", new BenchmarkCommand(),
-            "choice-experiment", new ChoiceCommand(),
-            "overhead", new OverheadCommand());
+        Map.ofEntries(
+            Map.entry("platform", new PlatformCommand()),
+            Map.entry("backend", new BackendCommand()),
+            Map.entry("demo", new DemoCommand()),
+            Map.entry("limits-experiment", new LimitsCommand()),
+            Map.entry("run", new RunCommand()),
+            Map.entry("in-force", new InForceCommand()),
+            Map.entry("look-up", new LookupCommand()),
+            Map.entry("benchmark", new BenchmarkCommand()),
+            Map.entry("choice-experiment", new ChoiceCommand()),
+            Map.entry("overhead", new OverheadCommand()),
+            Map.entry("soak", new SoakCommand()));
     JCommander commander = JCommander.newBuilder().programName("weirbench").build();
     commands.forEach(commander::addCommand);
     try {
--- a/weirbench/src/main/java/org/corianderweir/bench/process/ChildProcesses.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/process/ChildProcesses.java
@@ -40,7 +40,8 @@
       Process process =
           new ProcessBuilder(command)
               .redirectErrorStream(true)
-              .redirectOutput(new File(logDirectory, name + ".log"))
+              .redirectOutput(
+                  ProcessBuilder.Redirect.appendTo(new File(logDirectory, name + ".log")))
               .start();
       processes.put(name, process);
       return process;
--- /dev/null
+++ b/weirbench/src/main/java/org/corianderweir/bench/soak/SoakServer.java
@@ -0,0 +1,101 @@
+package org.corianderweir.bench.soak;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.corianderweir.http.HttpHeaders;
+import org.corianderweir.http.HttpListener;
+import org.corianderweir.http.HttpListenerOptions;
+import org.corianderweir.http.HttpRequest;
+import org.corianderweir.http.HttpResponse;
+import org.corianderweir.model.traffic.HeaderNames;
+import org.corianderweir.platform.PlatformHeaders;
+
+/** A backend server that records what it ran and can behave badly. Thread-safe. */
+final class SoakServer {
+  private static final HeaderNames NAMES = PlatformHeaders.NAMES;
+  private static final int BODY_LIMIT_BYTES = 1024 * 1024;
+  private static final int STATUS_OK = 200;
+  private static final int STATUS_MISDIRECTED = 421;
+  private static final int STATUS_UNAVAILABLE = 503;
+  private static final Duration USUAL_WORK = Duration.ofMillis(20);
+  private static final Duration SLOW_WORK = Duration.ofMillis(800);
+
+  private final String identifier;
+  private final SoakEvidence evidence;
+  private final HttpListener listener;
+  private volatile Behaviour behaviour = Behaviour.SOUND;
+
+  /** What the server does with requests. */
+  enum Behaviour {
+    /** It runs them soon. */
+    SOUND,
+    /** It refuses them without running them. */
+    FULL,
+    /** It runs them and never answers. */
+    SILENT,
+    /** It runs them for a long time. */
+    SLOW
+  }
+
+  SoakServer(String identifier, String host, SoakEvidence evidence) {
+    this.identifier = identifier;
+    this.evidence = evidence;
+    listener =
+        new HttpListener(
+            new HttpListenerOptions(identifier, host, 0, BODY_LIMIT_BYTES, 1), this::handle);
+  }
+
+  /** Returns the body of the answer to a request. */
+  static String body(String request) {
+    return "ran " + request;
+  }
+
+  String identifier() {
+    return identifier;
+  }
+
+  void start() {
+    listener.start();
+  }
+
+  void stop() {
+    listener.stop(0);
+  }
+
+  int port() {
+    return listener.port();
+  }
+
+  void setBehaviour(Behaviour next) {
+    behaviour = next;
+  }
+
+  private CompletableFuture<HttpResponse> handle(HttpRequest request) {
+    String name = request.headers().first(NAMES.requestIdentifier()).orElse("");
+    HttpHeaders headers = HttpHeaders.NONE.with(NAMES.requestIdentifier(), name);
+    if (!request.headers().first(NAMES.expectedServer()).orElse("").equals(identifier)) {
+      return CompletableFuture.completedFuture(
+          new HttpResponse(STATUS_MISDIRECTED, headers, new byte[0]));
+    }
+    Behaviour present = behaviour;
+    if (present == Behaviour.FULL) {
+      HttpHeaders refusal = headers.with(NAMES.notRun(), "1").with(NAMES.serverLoad(), "9,9,9");
+      return CompletableFuture.completedFuture(
+          new HttpResponse(STATUS_UNAVAILABLE, refusal, new byte[0]));
+    }
+    evidence.recordRun(name, identifier, System.nanoTime());
+    CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
+    if (present != Behaviour.SILENT) {
+      HttpResponse response =
+          new HttpResponse(
+              STATUS_OK,
+              headers.with(NAMES.serverStamp(), identifier).with(NAMES.serverLoad(), "1,0,9"),
+              body(name).getBytes(StandardCharsets.UTF_8));
+      Duration work = present == Behaviour.SLOW ? SLOW_WORK : USUAL_WORK;
+      answer.completeOnTimeout(response, work.toMillis(), TimeUnit.MILLISECONDS);
+    }
+    return answer;
+  }
+}
