--- /dev/null
+++ b/weirbench/src/test/java/org/corianderweir/bench/metadata/PlannedStopOfEntryInstanceTest.java
@@ -0,0 +1,91 @@
+package org.corianderweir.bench.metadata;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.corianderweir.daemon.SystemTimeSource;
+import org.corianderweir.http.HttpAddress;
+import org.testng.annotations.Test;
+
+/** Tests of callers that use kept connections while an entry instance stops. */
+public class PlannedStopOfEntryInstanceTest {
+  private static final int CALLER_COUNT = 120;
+  private static final long FIRST_REQUEST_MILLISECONDS = 2_300;
+  private static final long REQUEST_GAP_MILLISECONDS = 5;
+
+  /** A caller may wait this long without an answer before its connection ends. */
+  private static final Duration LONGEST_UNANSWERED_TIME = Duration.ofMillis(200);
+
+  private static final int ANSWER_TIMEOUT_MILLISECONDS = 5_000;
+
+  /** A soak saw a request on a kept connection that was neither read nor soon cut off. */
+  @Test
+  public void requestOnAKeptConnectionIsAnsweredOrTheConnectionEndsSoon() throws Exception {
+    EntryInstanceFixture fixture = new EntryInstanceFixture(new SystemTimeSource());
+    HttpAddress address = fixture.settings().callerAddress();
+    List<Socket> callers = new ArrayList<>();
+    for (int caller = 0; caller < CALLER_COUNT; caller++) {
+      callers.add(new Socket(address.host(), address.port()));
+      send(callers.getLast(), "kept-" + caller);
+      callers.getLast().getInputStream().read(new byte[1024]);
+    }
+    Thread stop = new Thread(() -> stop(fixture));
+    stop.start();
+    TimeUnit.MILLISECONDS.sleep(FIRST_REQUEST_MILLISECONDS);
+    List<CompletableFuture<Optional<Duration>>> waits = new ArrayList<>();
+    for (int caller = 0; caller < CALLER_COUNT; caller++) {
+      Socket socket = callers.get(caller);
+      String identifier = "late-" + caller;
+      waits.add(CompletableFuture.supplyAsync(() -> unansweredTime(socket, identifier)));
+      TimeUnit.MILLISECONDS.sleep(REQUEST_GAP_MILLISECONDS);
+    }
+    List<Duration> tooLong =
+        waits.stream()
+            .map(CompletableFuture::join)
+            .flatMap(Optional::stream)
+            .filter(wait -> wait.compareTo(LONGEST_UNANSWERED_TIME) > 0)
+            .toList();
+    stop.join();
+    assertEquals(tooLong, List.of());
+  }
+
+  /** Sends a request; returns the time until its connection ended, or empty if it was answered. */
+  private static Optional<Duration> unansweredTime(Socket socket, String identifier) {
+    long sentNanoseconds = System.nanoTime();
+    try (socket) {
+      send(socket, identifier);
+      socket.setSoTimeout(ANSWER_TIMEOUT_MILLISECONDS);
+      if (socket.getInputStream().read() == 'H') {
+        return Optional.empty();
+      }
+    } catch (IOException cut) {
+      // The connection ended with a reset.
+    }
+    return Optional.of(Duration.ofNanos(System.nanoTime() - sentNanoseconds));
+  }
+
+  private static void stop(EntryInstanceFixture fixture) {
+    try {
+      fixture.close();
+    } catch (Exception failure) {
+      throw new AssertionError(failure);
+    }
+  }
+
+  private static void send(Socket socket, String identifier) throws IOException {
+    String head =
+        "GET /read/x HTTP/1.1\r\nHost: rota.example\r\nX-Api-Key: key-1\r\nDeadline-Ms: 4000\r\n"
+            + "Content-Length: 0\r\nRequest-Id: "
+            + identifier
+            + "\r\n\r\n";
+    socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+  }
+}
--- a/weirhttp/src/test/java/org/corianderweir/http/HttpListenerTest.java
+++ b/weirhttp/src/test/java/org/corianderweir/http/HttpListenerTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -158,10 +159,10 @@
       int refused = 0;
       for (int caller = 0; caller < 8; caller++) {
         Socket socket = new Socket("127.0.0.1", large.port());
-        socket.setSoTimeout(500);
+        socket.setSoTimeout(3_000);
         callers.add(socket);
         send(socket, unfinished);
-        refused += readAll(socket.getInputStream()).contains(" 503 ") ? 1 : 0;
+        refused += readStatusLine(socket).startsWith("HTTP/1.1 503") ? 1 : 0;
       }
       String small = exchange(large.port(), head + "2\r\n" + CLOSE + "\r\nab");
       assertEquals(List.of(refused, small.contains(" 200 ")), List.of(6, true));
@@ -215,11 +216,13 @@
   /** A look at the connection drops pipelined bytes, so the connection must not be kept. */
   @Test
   public void pipelinedRequestClosesTheConnectionAfterTheResponse() throws Exception {
+    CountDownLatch begun = new CountDownLatch(1);
     CountDownLatch sent = new CountDownLatch(1);
     HttpListener observer =
         new HttpListener(
             new HttpListenerOptions("observer", "127.0.0.1", 0, BODY_LIMIT_BYTES, 1),
             (request, caller) -> {
+              begun.countDown();
               awaitUninterruptibly(sent);
               handled.add(request.target() + " open=" + caller.isOpen());
               return CompletableFuture.completedFuture(HttpResponse.json(200, "{}"));
@@ -228,7 +231,7 @@
     try (Socket socket = new Socket("127.0.0.1", observer.port())) {
       socket.setSoTimeout(5_000);
       send(socket, "GET /a HTTP/1.1\r\n" + HOST + "\r\n");
-      TimeUnit.MILLISECONDS.sleep(200);
+      awaitUninterruptibly(begun);
       send(socket, HIDDEN);
       sent.countDown();
       String response = readAll(socket.getInputStream());
@@ -266,6 +269,21 @@
     socket.getOutputStream().flush();
   }
 
+  /** Reads the first line of a response; returns an empty text if none comes in time. */
+  private static String readStatusLine(Socket socket) throws IOException {
+    StringBuilder line = new StringBuilder();
+    try {
+      int next = socket.getInputStream().read();
+      while (next >= 0 && next != '\r') {
+        line.append((char) next);
+        next = socket.getInputStream().read();
+      }
+    } catch (SocketTimeoutException noResponse) {
+      return "";
+    }
+    return line.toString();
+  }
+
   private static String readAll(InputStream input) {
     StringBuilder text = new StringBuilder();
     try {
