--- a/weirhttp/src/main/java/org/corianderweir/http/HttpRequestAdapter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpRequestAdapter.java
@@ -112,13 +112,6 @@
     return HttpResponse.json(STATUS_INTERNAL_SERVER_ERROR, "{\"code\":\"internal-error\"}");
   }
 
-  private static void write(Response response, HttpResponse httpResponse, CallerExchange exchange) {
-    if (!exchange.beginWrite()) {
-      closeAfterResponse(response);
-    }
-    write(response, httpResponse);
-  }
-
   private static void refuseTooLarge(Response response) {
     refuse(response, STATUS_TOO_LARGE, "body-too-large", "the body is above the limit");
   }
@@ -138,6 +131,13 @@
             : refusal);
   }
 
+  private static void write(Response response, HttpResponse httpResponse, CallerExchange exchange) {
+    if (!exchange.beginWrite()) {
+      closeAfterResponse(response);
+    }
+    write(response, httpResponse);
+  }
+
   private static void write(Response response, HttpResponse httpResponse) {
     try {
       response.setStatus(httpResponse.status());
@@ -225,22 +225,22 @@
         if (count <= 0) {
           break;
         }
-        switch (body.add(Arrays.copyOf(chunk, count))) {
-          case ADDED -> {}
-          case BODY_TOO_LARGE -> {
-            body.release();
-            refuseTooLarge(response);
-            return false;
-          }
-          case BUDGET_EXHAUSTED -> {
-            body.release();
-            refuse(
-                response, STATUS_UNAVAILABLE, "no-memory", "too many large bodies are being read");
-            return false;
-          }
+        BodyBuffer.Addition addition = body.add(Arrays.copyOf(chunk, count));
+        if (addition != BodyBuffer.Addition.ADDED) {
+          body.release();
+          refuseBody(addition);
+          return false;
         }
       }
       return true;
     }
+
+    private void refuseBody(BodyBuffer.Addition addition) {
+      if (addition == BodyBuffer.Addition.BODY_TOO_LARGE) {
+        refuseTooLarge(response);
+      } else {
+        refuse(response, STATUS_UNAVAILABLE, "no-memory", "too many large bodies are being read");
+      }
+    }
   }
 }
