--- a/weirbench/src/main/java/org/corianderweir/bench/process/ChildProcesses.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/process/ChildProcesses.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,7 +15,7 @@
   private static final long KILL_TIMEOUT_SECONDS = 5;
 
   private final File logDirectory;
-  private final Map<String, Process> processes = new LinkedHashMap<>();
+  private final Map<String, Process> processes = Collections.synchronizedMap(new LinkedHashMap<>());
 
   /**
    * Creates an instance without processes.
