Tests of callers on plain sockets share the writing of their request

AbandonedRequestsTest and PlannedStopOfEntryInstanceTest wrote the same head; it is in their fixture now.

--- a/weirbench/src/test/java/org/corianderweir/bench/metadata/AbandonedRequestsTest.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/metadata/AbandonedRequestsTest.java
@@ -4,7 +4,6 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.corianderweir.http.HttpAddress;
@@ -101,13 +100,7 @@
   private Socket send(String requestLine, String identifier) throws IOException {
     HttpAddress address = fixture.settings().callerAddress();
     Socket socket = new Socket(address.host(), address.port());
-    String head =
-        requestLine
-            + " HTTP/1.1\r\nHost: rota.example\r\nX-Api-Key: key-1\r\nDeadline-Ms: 4000\r\n"
-            + "Content-Length: 0\r\nRequest-Id: "
-            + identifier
-            + "\r\n\r\n";
-    socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+    EntryInstanceFixture.send(socket, requestLine, identifier);
     return socket;
   }
 
--- a/weirbench/src/test/java/org/corianderweir/bench/metadata/EntryInstanceFixture.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/metadata/EntryInstanceFixture.java
@@ -1,6 +1,9 @@
 package org.corianderweir.bench.metadata;
 
+import java.io.IOException;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -94,6 +97,17 @@
     return settings;
   }
 
+  /** Writes a request of an organisation with a key, without a body, to a caller's connection. */
+  static void send(Socket socket, String requestLine, String identifier) throws IOException {
+    String head =
+        requestLine
+            + " HTTP/1.1\r\nHost: rota.example\r\nX-Api-Key: key-1\r\nDeadline-Ms: 4000\r\n"
+            + "Content-Length: 0\r\nRequest-Id: "
+            + identifier
+            + "\r\n\r\n";
+    socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
   /** Returns the status of the answer to a GET request, or 0 if there is none. */
   private int status(HttpAddress address, String path) {
     try {
--- a/weirbench/src/test/java/org/corianderweir/bench/metadata/PlannedStopOfEntryInstanceTest.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/metadata/PlannedStopOfEntryInstanceTest.java
@@ -4,7 +4,6 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -17,6 +16,7 @@
 
 /** Tests of callers that use kept connections while an entry instance stops. */
 public class PlannedStopOfEntryInstanceTest {
+  private static final String REQUEST_LINE = "GET /read/x";
   private static final int CALLER_COUNT = 120;
   private static final long FIRST_REQUEST_MILLISECONDS = 2_300;
   private static final long REQUEST_GAP_MILLISECONDS = 5;
@@ -34,7 +34,7 @@
     List<Socket> callers = new ArrayList<>();
     for (int caller = 0; caller < CALLER_COUNT; caller++) {
       callers.add(new Socket(address.host(), address.port()));
-      send(callers.getLast(), "kept-" + caller);
+      EntryInstanceFixture.send(callers.getLast(), REQUEST_LINE, "kept-" + caller);
       callers.getLast().getInputStream().read(new byte[1024]);
     }
     Thread stop = new Thread(() -> stop(fixture));
@@ -61,7 +61,7 @@
   private static Optional<Duration> unansweredTime(Socket socket, String identifier) {
     long sentNanoseconds = System.nanoTime();
     try (socket) {
-      send(socket, identifier);
+      EntryInstanceFixture.send(socket, REQUEST_LINE, identifier);
       socket.setSoTimeout(ANSWER_TIMEOUT_MILLISECONDS);
       if (socket.getInputStream().read() == 'H') {
         return Optional.empty();
@@ -79,13 +79,4 @@
       throw new AssertionError(failure);
     }
   }
-
-  private static void send(Socket socket, String identifier) throws IOException {
-    String head =
-        "GET /read/x HTTP/1.1\r\nHost: rota.example\r\nX-Api-Key: key-1\r\nDeadline-Ms: 4000\r\n"
-            + "Content-Length: 0\r\nRequest-Id: "
-            + identifier
-            + "\r\n\r\n";
-    socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
-  }
 }
