Record in the review cases what clients send

record.txt of cases 1, 2, 4 and 5 lacked the requests as they were sent.

Run: each of the four scripts once with and once without the disruption: failed and passed as before.

--- a/review/lib/Case1.java
+++ b/review/lib/Case1.java
@@ -132,6 +132,7 @@
     RawClient client = new RawClient(Deployment.HOST, entry.callerPort, 1_000);
     for (int number = 1; number <= REQUESTS; number++) {
       String id = "request-" + number;
+      deployment.note("client sends POST /order/new " + id);
       RawClient.Answer answer =
           client.request(
               "POST /order/new HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 4000\r\nX-Api-Key: %s\r\nContent-Length: 4\r\n\r\npay!"
--- a/review/lib/Case2.java
+++ b/review/lib/Case2.java
@@ -131,6 +131,7 @@
           client = new RawClient(Deployment.HOST, entry.callerPort, 1_000);
           kept = false;
         }
+        deployment.note("client sends POST /order/new " + id);
         RawClient.Answer answer = client.request(request(id), 9_000);
         outcome = Integer.toString(answer.status);
         kept = true;
--- a/review/lib/Case4.java
+++ b/review/lib/Case4.java
@@ -145,6 +145,7 @@
       RawClient client = new RawClient(Deployment.HOST, entry.callerPort, 1_000);
       for (int number = 1; number <= REQUESTS_PER_INSTANCE; number++) {
         String id = phase + "-" + entry.name + "-" + number;
+        deployment.note("client sends " + path + " " + id + " to " + entry.name);
         try {
           RawClient.Answer answer =
               client.request(
--- a/review/lib/Case5.java
+++ b/review/lib/Case5.java
@@ -71,7 +71,10 @@
     Deployment.Instance stopped = entries.get(0);
     try (RawClient client = new RawClient(Deployment.HOST, stopped.callerPort, 1_000)) {
       for (int number = 1; number <= WARM_UP_REQUESTS; number++) {
-        client.request(request("/view/x", "small-" + number), DEADLINE_MILLISECONDS);
+        deployment.note("client sends GET /view/x small-" + number);
+        RawClient.Answer answer =
+            client.request(request("/view/x", "small-" + number), DEADLINE_MILLISECONDS);
+        deployment.note("client got " + answer.status + " for small-" + number);
       }
     }
     Thread.sleep(1_000);
