Record the classes that serving needs, in their linked state

Cause: the recording for the class archive ran without a store, so it held what a start loads but not what serving a request loads, and a restarted process spent its share of a small core on loading and linking classes.

Change: the recording run is connected to stand-ins of the store, of a second instance and of two backend servers, and serves requests.

--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -229,7 +229,8 @@
             Map.entry("overhead", new OverheadCommand()),
             Map.entry("relays", new RelaysCommand()),
             Map.entry("soak", new SoakCommand()),
-            Map.entry("bodies", new BodiesCommand()));
+            Map.entry("bodies", new BodiesCommand()),
+            Map.entry("training", new TrainingCommand()));
     JCommander commander = JCommander.newBuilder().programName("weirbench").build();
     commands.forEach(commander::addCommand);
     try {
