Requests of a connection are read ahead and answered in their order

A connection on which a second request arrived before the first was answered was closed after the first response, because the HTTP server of the library handles one request of a connection at a time and the bytes behind it were dropped.

The listener now has a filter chain of its own: reading goes on while requests are handled, the codec parses them, and a pipeline of each connection starts them and sends the responses in order.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
@@ -265,6 +265,11 @@
       return handleRequest(request, caller);
     }
 
+    @Override
+    public boolean mayRunBeside(HttpRequest head) {
+      return director.isIdempotent(messages.attributes(head, Duration.ZERO));
+    }
+
     @Override
     public Optional<HttpResponse> refuseEarly(HttpRequest head) {
       RequestAttributes attributes = messages.attributes(head, Duration.ZERO);
--- a/weirhttp/src/main/java/org/corianderweir/http/CallerExchange.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/CallerExchange.java
@@ -1,81 +1,125 @@
 package org.corianderweir.http;
 
-import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.SocketChannel;
 import java.time.Duration;
-import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.nio.NIOConnection;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
 
 /**
- * The exchange of one request and its response on a caller's connection. Bytes that arrive before
- * the response are dropped, and the connection is then closed after the response.
+ * One request of a caller and its response. The connection's {@link CallerPipeline} guards the
+ * state.
  */
 final class CallerExchange implements CallerConnection {
-  private static final int PROBE_BYTES = 1;
-
-  private final Connection<?> connection;
-  private final Duration queueTime;
-  private State state = State.PROCESSING;
-  private boolean surplusBytes;
+  private final CallerPipeline pipeline;
+  private final RequestHead head;
+  private final Optional<HttpRequest> request;
+  private final boolean mayRunBeside;
+  private final MemoryLease lease;
+  private final long arrivedNanoseconds;
+  private volatile long begunNanoseconds;
+  private State state;
+  private @Nullable HttpResponse response;
+  private @Nullable CompletableFuture<HttpResponse> future;
 
   private enum State {
-    PROCESSING,
-    DISCONNECTED,
-    WRITING
+    WAITING,
+    STARTED,
+    ANSWERED
+  }
+
+  private CallerExchange(
+      CallerPipeline pipeline,
+      RequestHead head,
+      Optional<HttpRequest> request,
+      boolean mayRunBeside,
+      MemoryLease lease,
+      long arrivedNanoseconds) {
+    this.pipeline = pipeline;
+    this.head = head;
+    this.request = request;
+    this.mayRunBeside = mayRunBeside;
+    this.lease = lease;
+    this.arrivedNanoseconds = arrivedNanoseconds;
+    begunNanoseconds = arrivedNanoseconds;
+    state = State.WAITING;
   }
 
-  CallerExchange(Connection<?> connection, Duration queueTime) {
-    this.connection = connection;
-    this.queueTime = queueTime;
+  /** Returns the exchange of a request that was read completely. */
+  static CallerExchange of(
+      CallerPipeline pipeline,
+      RequestHead head,
+      HttpRequest request,
+      boolean mayRunBeside,
+      MemoryLease lease,
+      long arrivedNanoseconds) {
+    return new CallerExchange(
+        pipeline, head, Optional.of(request), mayRunBeside, lease, arrivedNanoseconds);
+  }
+
+  /** Returns the exchange of a request that the listener refuses; it has its response. */
+  static CallerExchange refused(
+      CallerPipeline pipeline, RequestHead head, HttpResponse refusal, long arrivedNanoseconds) {
+    CallerExchange exchange =
+        new CallerExchange(
+            pipeline, head, Optional.empty(), true, new MemoryLease(), arrivedNanoseconds);
+    exchange.answer(refusal.withConnectionClose());
+    return exchange;
   }
 
   @Override
   public Duration queueTime() {
-    return queueTime;
+    return Duration.ofNanos(begunNanoseconds - arrivedNanoseconds);
   }
 
   @Override
   public boolean isOpen() {
-    if (probe()) {
-      return true;
-    }
-    connection.closeSilently();
-    return false;
-  }
-
-  /** Reads from the connection without blocking; returns false if the caller has left. */
-  private synchronized boolean probe() {
-    if (state == State.WRITING) {
-      return connection.isOpen();
-    }
-    if (state == State.DISCONNECTED || !connection.isOpen()) {
-      return false;
-    }
-    SocketChannel channel = (SocketChannel) ((NIOConnection) connection).getChannel();
-    try {
-      int count = channel.read(ByteBuffer.allocate(PROBE_BYTES));
-      surplusBytes |= count > 0;
-      state = count < 0 ? State.DISCONNECTED : state;
-    } catch (IOException reset) {
-      state = State.DISCONNECTED;
-    }
-    return state == State.PROCESSING;
-  }
-
-  /**
-   * Records that bytes arrived and were dropped.
-   *
-   * @return whether the response was still awaited
-   */
-  synchronized boolean onSurplusBytes() {
-    surplusBytes = true;
-    return state != State.WRITING;
-  }
-
-  /** Ends the handling of the request; returns whether the connection may be kept. */
-  synchronized boolean beginWrite() {
-    state = State.WRITING;
-    return !surplusBytes;
+    return pipeline.isCallerConnected();
+  }
+
+  RequestHead head() {
+    return head;
+  }
+
+  Optional<HttpRequest> request() {
+    return request;
+  }
+
+  MemoryLease lease() {
+    return lease;
+  }
+
+  boolean mayRunBeside() {
+    return mayRunBeside;
+  }
+
+  boolean isWaiting() {
+    return state == State.WAITING;
+  }
+
+  void start() {
+    state = State.STARTED;
+  }
+
+  /** Records that a thread begins to handle the request. */
+  void begin(long nowNanoseconds) {
+    begunNanoseconds = nowNanoseconds;
+  }
+
+  void setFuture(CompletableFuture<HttpResponse> handling) {
+    future = handling;
+  }
+
+  Optional<CompletableFuture<HttpResponse>> future() {
+    return Optional.ofNullable(future);
+  }
+
+  void answer(HttpResponse answer) {
+    response = answer;
+    state = State.ANSWERED;
+  }
+
+  /** Returns the response, if the request is answered. */
+  Optional<HttpResponse> response() {
+    return Optional.ofNullable(response);
   }
 }
--- /dev/null
+++ b/weirhttp/src/main/java/org/corianderweir/http/CallerPipeline.java
@@ -0,0 +1,355 @@
+package org.corianderweir.http;
+
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.CloseListener;
+import org.glassfish.grizzly.Closeable;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.ICloseType;
+import org.glassfish.grizzly.IOEvent;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.nio.NIOConnection;
+
+/**
+ * The requests of one connection in the order of their arrival. Starts them, those that may be
+ * repeated beside each other, and sends the responses in the order of the requests (RFC 9112,
+ * section 9.3.2). Thread-safe; foreign code is called without the lock.
+ */
+final class CallerPipeline implements CloseListener<Closeable, ICloseType> {
+  /** Requests of a connection that are read before the first of them is answered. */
+  static final int REQUEST_LIMIT = 16;
+
+  private static final Attribute<CallerPipeline> PIPELINE =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("corianderweir.http.pipeline");
+
+  private final Connection<?> connection;
+  private final ListenerContext listener;
+  private final ReadAhead readAhead;
+  private final RequestReader reader;
+  private final Deque<CallerExchange> exchanges = new ArrayDeque<>();
+  private boolean sending;
+  private boolean memoryShort;
+  private boolean readingEnded;
+  private boolean draining;
+  private boolean lastResponseSent;
+  private boolean closed;
+
+  private CallerPipeline(Connection<?> connection, ListenerContext listener) {
+    this.connection = connection;
+    this.listener = listener;
+    readAhead = new ReadAhead(listener.memory().small());
+    reader = new RequestReader(this, listener);
+  }
+
+  /** Creates the pipeline of a new connection. */
+  static void attach(Connection<?> connection, ListenerContext listener) {
+    CallerPipeline pipeline = new CallerPipeline(connection, listener);
+    PIPELINE.set(connection, pipeline);
+    connection.addCloseListener(pipeline);
+  }
+
+  static CallerPipeline of(Connection<?> connection) {
+    return PIPELINE.get(connection);
+  }
+
+  Connection<?> connection() {
+    return connection;
+  }
+
+  ReadAhead readAhead() {
+    return readAhead;
+  }
+
+  /** Returns the reader of requests, for the thread that parses. */
+  RequestReader reader() {
+    return reader;
+  }
+
+  /** Returns whether bytes may be parsed now, or dropped because nothing more is read. */
+  synchronized boolean mayParse() {
+    return readingEnded
+        || exchanges.isEmpty()
+        || (exchanges.size() < REQUEST_LIMIT && !memoryShort);
+  }
+
+  /** Returns whether no request is read any more, so that bytes are dropped. */
+  synchronized boolean hasReadingEnded() {
+    return readingEnded || closed;
+  }
+
+  /** Returns whether a request is in progress or waits. */
+  synchronized boolean hasExchanges() {
+    return !exchanges.isEmpty();
+  }
+
+  /** Adds a request that was read, unless reading has ended before. */
+  void add(CallerExchange exchange) {
+    boolean added;
+    synchronized (this) {
+      added = !readingEnded && !closed;
+      if (added) {
+        reserveHead(exchange);
+        exchanges.add(exchange);
+        readingEnded = !exchange.head().keepsConnection();
+      }
+    }
+    if (added) {
+      advance();
+    } else {
+      exchange.lease().end();
+    }
+  }
+
+  /**
+   * Adds the refusal of a request. Nothing behind the request is read.
+   *
+   * @param bodyFollows whether a body is still to be read and dropped before the connection closes,
+   *     since a close with unread bytes would keep the caller from reading the refusal
+   */
+  void addLast(CallerExchange refusal, boolean bodyFollows) {
+    synchronized (this) {
+      if (readingEnded || closed) {
+        return;
+      }
+      exchanges.add(refusal);
+      draining = bodyFollows;
+      readingEnded = !bodyFollows;
+    }
+    advance();
+  }
+
+  /** Records that the body of the refused request has ended. */
+  void onBodyDropped() {
+    boolean mayClose;
+    synchronized (this) {
+      draining = false;
+      readingEnded = true;
+      mayClose = lastResponseSent;
+    }
+    if (mayClose) {
+      connection.closeSilently();
+    }
+  }
+
+  /** Looks at the connection; closes it if the caller has left. */
+  boolean isCallerConnected() {
+    if (!connection.isOpen()) {
+      return false;
+    }
+    SocketChannel channel = (SocketChannel) ((NIOConnection) connection).getChannel();
+    switch (readAhead.probe(channel)) {
+      case OPEN -> {
+        return connection.isOpen();
+      }
+      case OPEN_WITH_BYTES -> {
+        simulateRead();
+        return true;
+      }
+      case ENDED -> {
+        connection.closeSilently();
+        return false;
+      }
+    }
+    throw new AssertionError("unknown result");
+  }
+
+  /** Keeps bytes for which there is no room yet. */
+  void hold(Buffer rest) {
+    readAhead.hold(rest);
+    // Room that was made in between has not found the bytes.
+    resumeReading();
+  }
+
+  /** Goes on with reading and parsing if there is room again. */
+  void resumeReading() {
+    if (!mayParse() || !readAhead.resume()) {
+      return;
+    }
+    try {
+      connection.enableIOEvent(IOEvent.READ);
+    } catch (IOException closing) {
+      connection.closeSilently();
+    }
+    simulateRead();
+  }
+
+  @Override
+  public void onClosed(Closeable closeable, ICloseType type) {
+    List<CallerExchange> unfinished;
+    synchronized (this) {
+      closed = true;
+      unfinished = new ArrayList<>(exchanges);
+      exchanges.clear();
+    }
+    readAhead.drop();
+    reader.onClosed();
+    for (CallerExchange exchange : unfinished) {
+      exchange.lease().end();
+      exchange.future().ifPresent(future -> future.cancel(false));
+    }
+  }
+
+  private void simulateRead() {
+    try {
+      connection.simulateIOEvent(IOEvent.READ);
+    } catch (IOException closing) {
+      connection.closeSilently();
+    }
+  }
+
+  /** Counts the head of a request that is read ahead; without memory, no more are read. */
+  private void reserveHead(CallerExchange exchange) {
+    if (!exchanges.isEmpty() && exchange.request().isPresent()) {
+      MemoryBudget budget = listener.memory().small();
+      int headBytes = headBytes(exchange.request().get());
+      if (!exchange.lease().tryReserve(budget, headBytes)) {
+        exchange.lease().reserve(budget, headBytes);
+        memoryShort = true;
+      }
+    }
+  }
+
+  private static int headBytes(HttpRequest request) {
+    int bytes = request.target().length();
+    for (HttpHeader field : request.headers().fields()) {
+      bytes += field.name().length() + field.value().length();
+    }
+    return bytes;
+  }
+
+  /** Starts what may start, and begins to send the first response if it is there. */
+  private void advance() {
+    List<CallerExchange> startable;
+    CallerExchange first = null;
+    boolean closes = false;
+    synchronized (this) {
+      startable = takeStartable();
+      CallerExchange oldest = exchanges.peek();
+      if (!sending && oldest != null && oldest.response().isPresent()) {
+        sending = true;
+        first = oldest;
+        closes = endsConnection(oldest, oldest.response().get());
+      }
+    }
+    startable.forEach(this::start);
+    if (first != null) {
+      send(first, closes);
+    }
+  }
+
+  private List<CallerExchange> takeStartable() {
+    List<CallerExchange> startable = new ArrayList<>(1);
+    boolean isFirst = true;
+    for (CallerExchange exchange : exchanges) {
+      if (exchange.isWaiting() && (isFirst || exchange.mayRunBeside())) {
+        exchange.start();
+        startable.add(exchange);
+      }
+      if (!exchange.mayRunBeside()) {
+        break;
+      }
+      isFirst = false;
+    }
+    return startable;
+  }
+
+  /**
+   * Returns whether the connection ends with a response. A response that asks for it ends the
+   * reading; the requests that were read already are still answered.
+   */
+  private boolean endsConnection(CallerExchange exchange, HttpResponse response) {
+    boolean asksForClose =
+        response.headers().first("Connection").filter("close"::equalsIgnoreCase).isPresent();
+    if (!draining && (asksForClose || listener.isStopping().getAsBoolean())) {
+      readingEnded = true;
+    }
+    return (readingEnded || draining) && exchanges.size() == 1;
+  }
+
+  private void start(CallerExchange exchange) {
+    try {
+      listener.executor().execute(() -> handle(exchange));
+    } catch (RejectedExecutionException stopped) {
+      connection.closeSilently();
+    }
+  }
+
+  private void handle(CallerExchange exchange) {
+    synchronized (this) {
+      if (closed) {
+        return;
+      }
+    }
+    exchange.begin(System.nanoTime());
+    CompletableFuture<HttpResponse> future;
+    try {
+      future = listener.handler().handle(exchange.request().orElseThrow(), exchange);
+    } catch (RuntimeException failure) {
+      future = CompletableFuture.failedFuture(failure);
+    }
+    boolean ended;
+    synchronized (this) {
+      exchange.setFuture(future);
+      ended = closed;
+    }
+    if (ended) {
+      future.cancel(false);
+      return;
+    }
+    future.whenComplete(
+        (response, failure) ->
+            answer(exchange, failure == null ? response : ListenerResponses.INTERNAL_ERROR));
+  }
+
+  private void answer(CallerExchange exchange, HttpResponse response) {
+    synchronized (this) {
+      if (closed) {
+        return;
+      }
+      exchange.answer(response);
+    }
+    advance();
+  }
+
+  private void send(CallerExchange exchange, boolean closes) {
+    HttpResponse response = exchange.response().orElseThrow();
+    try {
+      new ResponseWriter(
+              exchange.head().responsePacket(response, closes),
+              response.body(),
+              connection,
+              complete -> onSent(exchange, closes, complete))
+          .start();
+    } catch (RuntimeException failure) {
+      onSent(exchange, closes, false);
+    }
+  }
+
+  /** Ends an exchange after the whole response was passed on, or could not be. */
+  private void onSent(CallerExchange exchange, boolean closes, boolean complete) {
+    exchange.lease().end();
+    boolean mayClose;
+    synchronized (this) {
+      exchanges.remove(exchange);
+      sending = false;
+      memoryShort = false;
+      lastResponseSent = closes;
+      mayClose = !complete || (closes && !draining);
+    }
+    ConnectionGuard.onResponseWritten(connection);
+    if (mayClose) {
+      connection.closeSilently();
+      return;
+    }
+    resumeReading();
+    advance();
+  }
+}
--- a/weirhttp/src/main/java/org/corianderweir/http/CallerRequestHandler.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/CallerRequestHandler.java
@@ -15,6 +15,15 @@
    */
   CompletableFuture<HttpResponse> handle(HttpRequest request, CallerConnection caller);
 
+  /**
+   * Returns whether a request may run beside other requests of its connection, because it may be
+   * repeated. A request that may not starts only when all requests before it are answered, and none
+   * behind it starts before it is answered. Must not block.
+   */
+  default boolean mayRunBeside(HttpRequest head) {
+    return false;
+  }
+
   /**
    * Returns the answer to a request whose body need not be read, because the request can't be
    * served. Called for bodies that are large or of unknown length, with the request without body.
--- a/weirhttp/src/main/java/org/corianderweir/http/ConnectionGuard.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ConnectionGuard.java
@@ -27,6 +27,7 @@
 final class ConnectionGuard extends BaseFilter {
   private static final Attribute<ConnectionActivity> ACTIVITY =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("corianderweir.http.activity");
+  private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
   private static final long SWEEP_PERIOD_MILLISECONDS = 500;
   private static final Logger LOGGER = Logger.getLogger(ConnectionGuard.class);
 
@@ -72,6 +73,11 @@
     sweeper.shutdownNow();
   }
 
+  /** Records that bytes of a request are parsed, which begins its time limit. */
+  static void onBytesReceived(Connection<?> connection) {
+    ACTIVITY.get(connection).onBytesReceived(System.nanoTime());
+  }
+
   /** Ends the time limit for sending a request, because the request was read completely. */
   static void onRequestRead(Connection<?> connection) {
     ACTIVITY.get(connection).onRequestRead();
@@ -117,12 +123,6 @@
     return context.getInvokeAction();
   }
 
-  @Override
-  public NextAction handleRead(FilterChainContext context) {
-    ACTIVITY.get(context.getConnection()).onBytesReceived(System.nanoTime());
-    return context.getInvokeAction();
-  }
-
   private void removeConnection(Connection<?> connection) {
     InetAddress address = connections.remove(connection);
     if (address != null) {
@@ -132,13 +132,17 @@
   }
 
   /**
-   * Terminates the connections that exceed the transfer timeout. A graceful close would wait for a
-   * caller that does not read.
+   * Closes idle connections, and terminates those that exceed the transfer timeout. A graceful
+   * close would wait for a caller that does not read.
    */
   private void closeOverdueConnections(long nowNanoseconds) {
     for (Connection<?> connection : connections.keySet()) {
       ConnectionActivity activity = ACTIVITY.get(connection);
-      if (activity.isReadingLongerThan(transferTimeout, nowNanoseconds)
+      if (activity.isIdle()
+          && !isSending(connection)
+          && activity.quietTime(nowNanoseconds).compareTo(IDLE_TIMEOUT) > 0) {
+        connection.closeSilently();
+      } else if (activity.isReadingLongerThan(transferTimeout, nowNanoseconds)
           || isOverdue(writeStartNanoseconds(connection), nowNanoseconds)) {
         connection.terminateSilently();
       }
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
@@ -1,30 +1,30 @@
 package org.corianderweir.http;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.filterchain.TransportFilter;
-import org.glassfish.grizzly.http.HttpServerFilter;
-import org.glassfish.grizzly.http.server.HttpServer;
-import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
-import org.glassfish.grizzly.utils.DelayedExecutor;
-import org.glassfish.grizzly.utils.IdleTimeoutFilter;
 import org.jboss.logging.Logger;
 
 /** An HTTP server on one address that passes complete requests to a request handler. */
 public final class HttpListener {
-  private static final int IDLE_TIMEOUT_SECONDS = 60;
   private static final int HEADER_LIMIT_BYTES = 16 * 1024;
   private static final long STOP_POLL_INTERVAL_MILLISECONDS = 5;
   private static final Logger LOGGER = Logger.getLogger(HttpListener.class);
 
-  private final HttpServer server;
+  private final HttpListenerOptions options;
+  private final TCPNIOTransport transport;
   private final ConnectionGuard guard;
-  private final NetworkListener listener;
+  private volatile int port;
+  private volatile boolean stopping;
 
   /** Creates a server without starting it. */
   public HttpListener(HttpListenerOptions options, HttpRequestHandler requestHandler) {
@@ -33,48 +33,46 @@
 
   /** Creates a server without starting it, whose handler can ask for the caller's connection. */
   public HttpListener(HttpListenerOptions options, CallerRequestHandler requestHandler) {
-    server = new HttpServer();
+    this.options = options;
+    port = options.port();
     guard =
         new ConnectionGuard(
             options.name(),
             options.connectionLimit(),
             options.connectionLimitPerAddress(),
             options.transferTimeout());
-    listener = new NetworkListener(options.name(), options.host(), options.port());
-    listener.getKeepAlive().setIdleTimeoutInSeconds(IDLE_TIMEOUT_SECONDS);
-    listener.getKeepAlive().setMaxRequestsCount(-1);
-    listener.setMaxHttpHeaderSize(HEADER_LIMIT_BYTES);
-    listener
-        .getTransport()
-        .setWorkerThreadPoolConfig(
-            ThreadPoolConfig.defaultConfig()
-                .setPoolName(options.name())
-                .setDaemon(true)
-                .setCorePoolSize(options.workerThreads())
-                .setMaxPoolSize(options.workerThreads()));
-    listener.getTransport().setSelectorRunnersCount(1);
-    listener.registerAddOn((unused, filters) -> setFilters(filters));
-    listener
-        .getTransport()
+    transport =
+        TCPNIOTransportBuilder.newInstance()
+            .setName(options.name())
+            .setTcpNoDelay(true)
+            .setSelectorRunnersCount(1)
+            // Requests are read by the selector's thread and handled by the worker threads.
+            .setIOStrategy(SameThreadIOStrategy.getInstance())
+            .setWorkerThreadPoolConfig(
+                ThreadPoolConfig.defaultConfig()
+                    .setPoolName(options.name())
+                    .setDaemon(true)
+                    .setCorePoolSize(options.workerThreads())
+                    .setMaxPoolSize(options.workerThreads()))
+            .build();
+    transport
         .getAsyncQueueIO()
         .getWriter()
         .setMaxPendingBytesPerConnection(ResponseWriter.PENDING_LIMIT_BYTES);
-    server.addListener(listener);
-    server.getServerConfiguration().setName("corianderweir-" + options.name());
-    server
-        .getServerConfiguration()
-        .addHttpHandler(new HttpRequestAdapter(requestHandler, options), "/");
-  }
-
-  private void setFilters(FilterChainBuilder filters) {
-    int position = filters.indexOfType(HttpServerFilter.class);
-    DelayedExecutor executor = IdleTimeoutFilter.createDefaultIdleDelayedExecutor();
-    executor.start();
-    filters.set(
-        position, new StrictServerFilter(HEADER_LIMIT_BYTES, listener.getKeepAlive(), executor));
-    int afterTransport = filters.indexOfType(TransportFilter.class) + 1;
-    filters.add(afterTransport, new DisconnectDetectionFilter());
-    filters.add(afterTransport + 1, guard);
+    ListenerContext context =
+        new ListenerContext(
+            requestHandler,
+            options.bodyLimitBytes(),
+            options.memory(),
+            task -> transport.getWorkerThreadPool().execute(task),
+            () -> stopping);
+    transport.setProcessor(
+        FilterChainBuilder.stateless()
+            .add(new ReadAheadFilter(context))
+            .add(guard)
+            .add(new StrictServerFilter(HEADER_LIMIT_BYTES))
+            .add(new RequestFilter())
+            .build());
   }
 
   /**
@@ -84,19 +82,21 @@
    */
   public void start() {
     try {
-      server.start();
+      Connection<?> bound = transport.bind(options.host(), options.port());
+      port = ((InetSocketAddress) bound.getLocalAddress()).getPort();
+      transport.start();
       guard.start();
     } catch (IOException failure) {
       throw new WeirException(
           ErrorCode.CONNECT_FAILED,
-          "can't listen on " + listener.getHost() + ":" + listener.getPort(),
+          "can't listen on " + options.host() + ":" + options.port(),
           failure);
     }
   }
 
   /** Returns the TCP port on which the server listens. */
   public int port() {
-    return listener.getPort();
+    return port;
   }
 
   /** Stops as {@link #stop(Duration, Duration)} does, and closes idle connections at once. */
@@ -106,8 +106,8 @@
 
   /**
    * Stops accepting connections, and closes each open connection when it has no request in progress
-   * and has been quiet for a time. A caller that uses its connection often then gets a response
-   * with {@code Connection: close}, if the request handler sends it, before its connection ends.
+   * and has been quiet for a time. A caller that uses its connection gets a response with {@code
+   * Connection: close} to the last request that was read, before its connection ends.
    *
    * @param quietTime time without a request after which a connection is closed
    * @param grace time after which all connections are closed
@@ -115,6 +115,7 @@
   public void stop(Duration quietTime, Duration grace) {
     // Grizzly's own shutdown closes connections that callers are still using.
     unbind();
+    stopping = true;
     long startNanoseconds = System.nanoTime();
     while (guard.closeIdleConnections(quietTime, System.nanoTime())
         && System.nanoTime() - startNanoseconds < grace.toNanos()
@@ -123,14 +124,18 @@
     }
     guard.closeIdleConnections(Duration.ZERO, System.nanoTime());
     guard.stop();
-    server.shutdownNow();
+    try {
+      transport.shutdownNow();
+    } catch (IOException failure) {
+      LOGGER.warnf(failure, "can't close the connections to %s:%d", options.host(), port);
+    }
   }
 
   private void unbind() {
     try {
-      listener.getTransport().unbindAll();
+      transport.unbindAll();
     } catch (RuntimeException failure) {
-      LOGGER.warnf(failure, "can't stop listening on %s:%d", listener.getHost(), port());
+      LOGGER.warnf(failure, "can't stop listening on %s:%d", options.host(), port);
     }
   }
 
--- a/weirhttp/src/main/java/org/corianderweir/http/MemoryBudget.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/MemoryBudget.java
@@ -34,6 +34,11 @@
     return false;
   }
 
+  /** Reserves bytes that are held already, also above the limit. */
+  void reserve(long bytes) {
+    reservedBytes.addAndGet(bytes);
+  }
+
   /** Gives bytes back, and tells those who wait for them. */
   void release(long bytes) {
     reservedBytes.addAndGet(-bytes);
--- a/weirhttp/src/main/java/org/corianderweir/http/MemoryLease.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/MemoryLease.java
@@ -20,6 +20,14 @@
     return true;
   }
 
+  /** Reserves bytes that are held already, also above the limit, unless the lease has ended. */
+  synchronized void reserve(MemoryBudget budget, long bytes) {
+    if (!ended) {
+      budget.reserve(bytes);
+      reservedBytes.merge(budget, bytes, Long::sum);
+    }
+  }
+
   /** Gives a part of the reserved bytes back. */
   void release(MemoryBudget budget, long bytes) {
     synchronized (this) {
--- a/weirhttp/src/test/java/org/corianderweir/http/HttpListenerTest.java
+++ b/weirhttp/src/test/java/org/corianderweir/http/HttpListenerTest.java
@@ -235,9 +235,9 @@
     }
   }
 
-  /** A look at the connection drops pipelined bytes, so the connection must not be kept. */
+  /** A look at the connection dropped pipelined bytes, and the connection was then closed. */
   @Test
-  public void pipelinedRequestClosesTheConnectionAfterTheResponse() throws Exception {
+  public void pipelinedRequestIsHandledAfterALookAtTheConnection() throws Exception {
     CountDownLatch begun = new CountDownLatch(1);
     CountDownLatch sent = new CountDownLatch(1);
     HttpListener observer =
@@ -254,11 +254,12 @@
       socket.setSoTimeout(5_000);
       send(socket, "GET /a HTTP/1.1\r\n" + HOST + "\r\n");
       awaitUninterruptibly(begun);
-      send(socket, HIDDEN);
+      send(socket, "GET /b HTTP/1.1\r\n" + HOST + CLOSE + "\r\n" + HIDDEN);
       sent.countDown();
       String response = readAll(socket.getInputStream());
-      assertEquals(handled, List.of("/a open=true"), response);
-      assertTrue(response.contains("Connection: close"), response);
+      assertEquals(handled, List.of("/a open=true", "/b open=true"), response);
+      assertEquals(response.split("HTTP/1.1 200", -1).length - 1, 2, response);
+      assertEquals(response.split("Connection: close", -1).length - 1, 1, response);
     } finally {
       observer.stop(0);
     }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -101,6 +101,11 @@
     };
   }
 
+  /** Returns whether a request is on a route whose requests may run more than once. */
+  public synchronized boolean isIdempotent(RequestAttributes attributes) {
+    return match(attributes, 0) instanceof RouteMatch.Found found && found.route().idempotent();
+  }
+
   /** Decides whether a request without a body is admitted. */
   public Admission admit(RequestAttributes attributes, long nowNanoseconds) {
     return admit(attributes, 0, nowNanoseconds);
