Pipelines answer before they close, and bodies wait for the memory of earlier requests

A close with unread bytes resets the connection, so that responses on their way could be lost: the sending side is now closed first. A request that is sent too slowly ends the reading and not the requests before it. A body for which there is no memory waits while requests before it are unanswered.

--- a/weirhttp/src/main/java/org/corianderweir/http/BodyBuffer.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/BodyBuffer.java
@@ -62,6 +62,11 @@
     return addToSegments(part);
   }
 
+  /** Returns whether no part was added yet. */
+  boolean isEmpty() {
+    return sizeBytes == 0;
+  }
+
   /** Returns the complete body; empty if there is no memory to join its segments. */
   Optional<byte[]> take() {
     if (whole == null) {
--- a/weirhttp/src/main/java/org/corianderweir/http/CallerPipeline.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/CallerPipeline.java
@@ -1,7 +1,9 @@
 package org.corianderweir.http;
 
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.nio.channels.SocketChannel;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -12,11 +14,15 @@
 import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.Closeable;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.ICloseType;
 import org.glassfish.grizzly.IOEvent;
+import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.nio.NIOConnection;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The requests of one connection in the order of their arrival. Starts them, those that may be
@@ -40,7 +46,10 @@
   private boolean readingEnded;
   private boolean draining;
   private boolean lastResponseSent;
+  private @Nullable RequestHead acknowledgement;
   private boolean closed;
+  private volatile long lingeringSinceNanoseconds;
+  private volatile boolean lingering;
 
   private CallerPipeline(Connection<?> connection, ListenerContext listener) {
     this.connection = connection;
@@ -85,11 +94,43 @@
     return readingEnded || closed;
   }
 
+  /** Returns whether the caller has not closed its side for a time after the last response. */
+  boolean isLingeringLongerThan(Duration limit, long nowNanoseconds) {
+    return lingering && nowNanoseconds - lingeringSinceNanoseconds > limit.toNanos();
+  }
+
   /** Returns whether a request is in progress or waits. */
   synchronized boolean hasExchanges() {
     return !exchanges.isEmpty();
   }
 
+  /** Parses no more until a request is answered, because there is no memory for a body. */
+  void waitForMemory() {
+    synchronized (this) {
+      memoryShort = true;
+    }
+    // A response that was sent in between has not found the wait.
+    resumeReading();
+  }
+
+  /** Asks the caller to send the body of the request that is being read, when it is its turn. */
+  void acknowledge(RequestHead head) {
+    synchronized (this) {
+      acknowledgement = head;
+    }
+    advance();
+  }
+
+  /**
+   * Ends the reading because the caller takes too long to send a request.
+   *
+   * @return whether requests are still to be answered before the connection closes
+   */
+  synchronized boolean endReading() {
+    readingEnded = !exchanges.isEmpty();
+    return readingEnded;
+  }
+
   /** Adds a request that was read, unless reading has ended before. */
   void add(CallerExchange exchange) {
     boolean added;
@@ -98,6 +139,7 @@
       if (added) {
         reserveHead(exchange);
         exchanges.add(exchange);
+        acknowledgement = null;
         readingEnded = !exchange.head().keepsConnection();
       }
     }
@@ -120,6 +162,7 @@
         return;
       }
       exchanges.add(refusal);
+      acknowledgement = null;
       draining = bodyFollows;
       readingEnded = !bodyFollows;
     }
@@ -135,7 +178,7 @@
       mayClose = lastResponseSent;
     }
     if (mayClose) {
-      connection.closeSilently();
+      closeAfterResponses();
     }
   }
 
@@ -170,7 +213,7 @@
 
   /** Goes on with reading and parsing if there is room again. */
   void resumeReading() {
-    if (!mayParse() || !readAhead.resume()) {
+    if (!mayParse() || !(readAhead.resume() || reader.isDeferred())) {
       return;
     }
     try {
@@ -229,6 +272,7 @@
   private void advance() {
     List<CallerExchange> startable;
     CallerExchange first = null;
+    RequestHead continued = null;
     boolean closes = false;
     synchronized (this) {
       startable = takeStartable();
@@ -236,13 +280,27 @@
       if (!sending && oldest != null && oldest.response().isPresent()) {
         sending = true;
         first = oldest;
-        closes = endsConnection(oldest, oldest.response().get());
+        closes = endsConnection(oldest.response().get());
+      } else if (!sending && oldest == null && acknowledgement != null && !readingEnded) {
+        sending = true;
+        continued = acknowledgement;
+        acknowledgement = null;
       }
     }
     startable.forEach(this::start);
     if (first != null) {
       send(first, closes);
+    } else if (continued != null) {
+      sendContinue(continued);
+    }
+  }
+
+  private void sendContinue(RequestHead head) {
+    ((NIOConnection) connection).write(head.continuePacket());
+    synchronized (this) {
+      sending = false;
     }
+    advance();
   }
 
   private List<CallerExchange> takeStartable() {
@@ -265,7 +323,7 @@
    * Returns whether the connection ends with a response. A response that asks for it ends the
    * reading; the requests that were read already are still answered.
    */
-  private boolean endsConnection(CallerExchange exchange, HttpResponse response) {
+  private boolean endsConnection(HttpResponse response) {
     boolean asksForClose =
         response.headers().first("Connection").filter("close"::equalsIgnoreCase).isPresent();
     if (!draining && (asksForClose || listener.isStopping().getAsBoolean())) {
@@ -342,14 +400,47 @@
       sending = false;
       memoryShort = false;
       lastResponseSent = closes;
-      mayClose = !complete || (closes && !draining);
+      mayClose = closes && !draining;
     }
     ConnectionGuard.onResponseWritten(connection);
-    if (mayClose) {
+    if (!complete) {
       connection.closeSilently();
       return;
     }
     resumeReading();
-    advance();
+    if (!mayClose) {
+      advance();
+    } else if (exchange.head().keepsConnection()) {
+      closeAfterResponses();
+    } else {
+      connection.closeSilently();
+    }
+  }
+
+  /**
+   * Closes the sending side after the last response, and then drops what the caller still sends
+   * until it closes its side. A close with unread bytes would reset the connection, and responses
+   * on their way could be lost.
+   */
+  private void closeAfterResponses() {
+    lingeringSinceNanoseconds = System.nanoTime();
+    lingering = true;
+    ((NIOConnection) connection)
+        .write(
+            Buffers.EMPTY_BUFFER,
+            new EmptyCompletionHandler<WriteResult<Buffer, SocketAddress>>() {
+              @Override
+              public void completed(WriteResult<Buffer, SocketAddress> written) {
+                shutDownOutput();
+              }
+            });
+  }
+
+  private void shutDownOutput() {
+    try {
+      ((SocketChannel) ((NIOConnection) connection).getChannel()).shutdownOutput();
+    } catch (IOException closed) {
+      connection.closeSilently();
+    }
   }
 }
--- a/weirhttp/src/main/java/org/corianderweir/http/ConnectionActivity.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ConnectionActivity.java
@@ -10,10 +10,12 @@
   private int begunRequestCount;
   private int writtenResponseCount;
   private long latestEventNanoseconds;
+  private long latestResponseNanoseconds;
 
   ConnectionActivity(long acceptedNanoseconds) {
     readingSinceNanoseconds = acceptedNanoseconds;
     latestEventNanoseconds = acceptedNanoseconds;
+    latestResponseNanoseconds = acceptedNanoseconds;
   }
 
   /** Records that bytes of a request arrived. */
@@ -38,12 +40,23 @@
   /** Records that a response was passed on to be sent. */
   synchronized void onResponseWritten(long nowNanoseconds) {
     latestEventNanoseconds = nowNanoseconds;
+    latestResponseNanoseconds = nowNanoseconds;
     writtenResponseCount++;
   }
 
-  /** Returns whether each request that arrived, even in part, has its response. */
+  /** Returns whether each request that arrived, even in part, was read and has its response. */
   synchronized boolean isIdle() {
-    return begunRequestCount == writtenResponseCount;
+    return begunRequestCount == writtenResponseCount && !receiving;
+  }
+
+  /** Returns whether the connection has been idle for longer than a limit. */
+  synchronized boolean isIdleLongerThan(Duration limit, long nowNanoseconds) {
+    return isIdle() && quietTime(nowNanoseconds).compareTo(limit) > 0;
+  }
+
+  /** Returns the monotonic time at which a response was passed on for the last time. */
+  synchronized long latestResponseNanoseconds() {
+    return latestResponseNanoseconds;
   }
 
   /** Returns how long ago bytes arrived, or a response was written, for the last time. */
--- a/weirhttp/src/main/java/org/corianderweir/http/ConnectionGuard.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ConnectionGuard.java
@@ -28,6 +28,10 @@
   private static final Attribute<ConnectionActivity> ACTIVITY =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("corianderweir.http.activity");
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+
+  /** Time for a caller to close its side after a response that ends the connection. */
+  private static final Duration LINGER_TIMEOUT = Duration.ofSeconds(1);
+
   private static final long SWEEP_PERIOD_MILLISECONDS = 500;
   private static final Logger LOGGER = Logger.getLogger(ConnectionGuard.class);
 
@@ -138,12 +142,15 @@
   private void closeOverdueConnections(long nowNanoseconds) {
     for (Connection<?> connection : connections.keySet()) {
       ConnectionActivity activity = ACTIVITY.get(connection);
-      if (activity.isIdle()
-          && !isSending(connection)
-          && activity.quietTime(nowNanoseconds).compareTo(IDLE_TIMEOUT) > 0) {
+      CallerPipeline pipeline = CallerPipeline.of(connection);
+      boolean sending = isSending(connection);
+      if (!sending
+          && (activity.isIdleLongerThan(IDLE_TIMEOUT, nowNanoseconds)
+              || pipeline.isLingeringLongerThan(LINGER_TIMEOUT, nowNanoseconds))) {
         connection.closeSilently();
-      } else if (activity.isReadingLongerThan(transferTimeout, nowNanoseconds)
-          || isOverdue(writeStartNanoseconds(connection), nowNanoseconds)) {
+      } else if (isOverdue(writeStartNanoseconds(connection), nowNanoseconds)
+          || (activity.isReadingLongerThan(transferTimeout, nowNanoseconds)
+              && !pipeline.endReading())) {
         connection.terminateSilently();
       }
     }
@@ -158,14 +165,18 @@
   /**
    * Returns the monotonic time since which bytes of a response have waited for the caller to read
    * them, or null if none wait. A sweep that finds bytes waiting for the first time starts the
-   * time.
+   * time, and each response that is passed on starts it again.
    */
   private @Nullable Long writeStartNanoseconds(Connection<?> connection) {
     if (!isSending(connection)) {
       writingSince.remove(connection);
       return null;
     }
-    return writingSince.computeIfAbsent(connection, unused -> System.nanoTime());
+    long latestResponse = ACTIVITY.get(connection).latestResponseNanoseconds();
+    return writingSince.merge(
+        connection,
+        System.nanoTime(),
+        (since, unused) -> since - latestResponse < 0 ? latestResponse : since);
   }
 
   /** Returns whether bytes of a response wait in the process for the caller to read. */
--- a/weirhttp/src/main/java/org/corianderweir/http/ReadAheadFilter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ReadAheadFilter.java
@@ -46,6 +46,7 @@
       pipeline.resumeReading();
       return context.getStopAction();
     }
+    pipeline.reader().resumeDeferred();
     SocketChannel channel = (SocketChannel) ((NIOConnection) connection).getChannel();
     Optional<byte[]> bytes = readAhead.read(channel, readBuffer);
     if (bytes.isEmpty()) {
--- a/weirhttp/src/main/java/org/corianderweir/http/RequestHead.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/RequestHead.java
@@ -4,6 +4,7 @@
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Method;
 import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.http.util.HttpStatus;
 
 /**
  * What the response to a request depends on.
@@ -14,7 +15,7 @@
  */
 record RequestHead(boolean hasHeadMethod, boolean hasLatestVersion, boolean keepsConnection) {
   /** For bytes of which no head could be read. */
-  static final RequestHead UNKNOWN = new RequestHead(false, true, false);
+  static final RequestHead UNKNOWN = new RequestHead(false, true, true);
 
   static RequestHead of(HttpRequestPacket packet) {
     return new RequestHead(
@@ -23,20 +24,17 @@
         packet.getProcessingState().isKeepAlive());
   }
 
+  /** Returns the interim response after which a caller sends the body of a request. */
+  HttpResponsePacket continuePacket() {
+    HttpResponsePacket packet = packet(HttpStatus.CONINTUE_100.getStatusCode());
+    packet.setAcknowledgement(true);
+    return packet;
+  }
+
   /** Returns the head of a response for the codec. */
   HttpResponsePacket responsePacket(HttpResponse response, boolean closes) {
-    HttpRequestPacket request =
-        HttpRequestPacket.builder()
-            .method(hasHeadMethod ? Method.HEAD : Method.GET)
-            .uri("/")
-            .protocol(hasLatestVersion ? Protocol.HTTP_1_1 : Protocol.HTTP_1_0)
-            .build();
-    HttpResponsePacket packet =
-        HttpResponsePacket.builder(request)
-            .protocol(Protocol.HTTP_1_1)
-            .status(response.status())
-            .contentLength(response.body().length)
-            .build();
+    HttpResponsePacket packet = packet(response.status());
+    packet.setContentLength(response.body().length);
     for (HttpHeader field : response.headers().fields()) {
       switch (field.name().toLowerCase(java.util.Locale.ROOT)) {
         case "content-length", "transfer-encoding", "connection" -> {
@@ -49,4 +47,15 @@
     StrictServerFilter.setClosing(packet, closes);
     return packet;
   }
+
+  /** The packet of the request is not kept for its response, as it holds the bytes of a read. */
+  private HttpResponsePacket packet(int status) {
+    HttpRequestPacket request =
+        HttpRequestPacket.builder()
+            .method(hasHeadMethod ? Method.HEAD : Method.GET)
+            .uri("/")
+            .protocol(hasLatestVersion ? Protocol.HTTP_1_1 : Protocol.HTTP_1_0)
+            .build();
+    return HttpResponsePacket.builder(request).protocol(Protocol.HTTP_1_1).status(status).build();
+  }
 }
--- a/weirhttp/src/main/java/org/corianderweir/http/RequestReader.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/RequestReader.java
@@ -22,12 +22,22 @@
   private @Nullable BodyBuffer body;
   private volatile @Nullable MemoryLease lease;
   private boolean refused;
+  private @Nullable DeferredPart deferred;
 
   RequestReader(CallerPipeline pipeline, ListenerContext listener) {
     this.pipeline = pipeline;
     this.listener = listener;
   }
 
+  /**
+   * The first part of a body for which there is no memory yet.
+   *
+   * @param lengthBytes length of the whole body
+   */
+  @SuppressWarnings("ArrayRecordComponent")
+  private record DeferredPart(
+      HttpRequestPacket packet, long lengthBytes, byte[] part, boolean last) {}
+
   /** Takes a part of a request that the codec has parsed. */
   void onContent(HttpContent content) {
     HttpRequestPacket packet = (HttpRequestPacket) content.getHttpHeader();
@@ -35,13 +45,18 @@
       begin(packet);
     }
     Buffer buffer = content.getContent();
+    byte[] part = NO_BODY;
     if (!refused && buffer.hasRemaining()) {
-      byte[] part = new byte[buffer.remaining()];
+      part = new byte[buffer.remaining()];
       buffer.get(part);
-      refuseUnlessAdded(body().add(part));
+    }
+    if (deferred != null) {
+      deferred = new DeferredPart(packet, deferred.lengthBytes(), part, content.isLast());
+      pipeline.waitForMemory();
+    } else {
+      take(packet, part, content.isLast());
     }
     if (content.isLast()) {
-      complete(packet);
       // The codec then takes the bytes that follow as another request.
       pipeline
           .connection()
@@ -50,6 +65,40 @@
     }
   }
 
+  /** Returns whether a body waits for memory. */
+  boolean isDeferred() {
+    return deferred != null;
+  }
+
+  /**
+   * Goes on with a body that waits for memory, if there is some now or nothing left to wait for.
+   */
+  void resumeDeferred() {
+    DeferredPart waiting = deferred;
+    if (waiting == null) {
+      return;
+    }
+    deferred = null;
+    reserve(waiting.packet(), waiting.lengthBytes());
+    if (deferred != null) {
+      deferred = waiting;
+      pipeline.waitForMemory();
+    } else {
+      take(waiting.packet(), waiting.part(), waiting.last());
+    }
+  }
+
+  private void take(HttpRequestPacket packet, byte[] part, boolean last) {
+    if (!refused && part.length > 0) {
+      refuseUnlessAdded(body().add(part));
+    }
+    if (last) {
+      complete(packet);
+    } else if (body().isEmpty() && !refused && packet.requiresAcknowledgement()) {
+      pipeline.acknowledge(head());
+    }
+  }
+
   /** Answers bytes that are not one clear request, in their turn. */
   void onMalformed() {
     endLease();
@@ -85,7 +134,20 @@
           .ifPresent(this::refuse);
     }
     if (!refused && !chunked) {
-      refuseUnlessAdded(body().begin(lengthBytes));
+      reserve(packet, lengthBytes);
+    }
+  }
+
+  /**
+   * Reserves the memory of a body. A body behind unanswered requests waits for their memory instead
+   * of being refused.
+   */
+  private void reserve(HttpRequestPacket packet, long lengthBytes) {
+    BodyBuffer.Addition addition = body().begin(lengthBytes);
+    if (addition == BodyBuffer.Addition.BUDGET_EXHAUSTED && pipeline.hasExchanges()) {
+      deferred = new DeferredPart(packet, lengthBytes, NO_BODY, false);
+    } else {
+      refuseUnlessAdded(addition);
     }
   }
 
