Tests of pipelined requests, and deadlines that count from the arrival

A request that waits for its turn on its connection used up none of its time, so that it could be answered after its caller had given up.

--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -329,12 +329,12 @@
   /** Returns the time until a request that arrives now must have its answer, in nanoseconds. */
   private static long timeToDeadline(RequestAttributes attributes, TrafficRoute route) {
     long timeout = Durations.toBoundedNanoseconds(route.timeout());
-    return attributes.deadlineMilliseconds().isPresent()
-        ? Math.min(
-            timeout,
-            Durations.toBoundedNanoseconds(
-                Duration.ofMillis(attributes.deadlineMilliseconds().getAsLong())))
-        : timeout;
+    long asked =
+        attributes.deadlineMilliseconds().stream()
+            .map(wanted -> Durations.toBoundedNanoseconds(Duration.ofMillis(wanted)))
+            .findFirst()
+            .orElse(timeout);
+    return Math.min(timeout, asked) - attributes.queueTime().toNanos();
   }
 
   private static NextStep deliver() {
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficDirectorTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficDirectorTest.java
@@ -378,6 +378,40 @@
     assertEquals(request.deadlineNanoseconds(), NOW + read.timeout().toNanos());
   }
 
+  @DataProvider
+  public Object[][] askedDeadlines() {
+    return new Object[][] {{OptionalLong.empty(), 2_000 - 300}, {OptionalLong.of(900), 900 - 300}};
+  }
+
+  /** A request that had waited for its turn was held longer than its caller waits. */
+  @Test(dataProvider = "askedDeadlines")
+  public void theDeadlineCountsFromTheArrival(OptionalLong asked, long expectedMilliseconds) {
+    TrafficDirector director = director(TrafficFixture.servers("north-a", 1));
+    RequestAttributes attributes =
+        new RequestAttributes(
+            "r",
+            "rota.example",
+            "/read/x",
+            Optional.of("key-1"),
+            Optional.empty(),
+            asked,
+            Duration.ofMillis(300));
+    AdmittedRequest request = ((Admission.Admitted) director.admit(attributes, NOW)).request();
+    assertEquals(request.deadlineNanoseconds(), NOW + expectedMilliseconds * MILLISECOND);
+  }
+
+  @DataProvider
+  public Object[][] routeKinds() {
+    return new Object[][] {{"read", true}, {"book", false}, {"none", false}};
+  }
+
+  /** A request that may run only once must not run beside others of its connection. */
+  @Test(dataProvider = "routeKinds")
+  public void theRouteSaysWhetherARequestMayRunAgain(String route, boolean idempotent) {
+    TrafficDirector director = director(TrafficFixture.servers("north-a", 1));
+    assertEquals(director.isIdempotent(TrafficFixture.request(route, "1")), idempotent);
+  }
+
   private TrafficDirector director(List<ServerRegistration> servers) {
     TrafficDirector director =
         new TrafficDirector(TrafficFixture.SELF, TrafficFixture.LOCATION, TrafficFixture.BOUNDS);
