Bytes read ahead stay within the memory budget

Without memory, a connection reads less at a time and pauses as soon as it holds bytes. A request that was sent too slowly closes the connection after the last response also if that one was under way already.

--- a/weirhttp/src/main/java/org/corianderweir/http/CallerPipeline.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/CallerPipeline.java
@@ -400,7 +400,8 @@
       sending = false;
       memoryShort = false;
       lastResponseSent = closes;
-      mayClose = closes && !draining;
+      // Reading may have ended after the head of the last response was sent.
+      mayClose = (closes || readingEnded) && exchanges.isEmpty() && !draining;
     }
     ConnectionGuard.onResponseWritten(connection);
     if (!complete) {
--- a/weirhttp/src/main/java/org/corianderweir/http/MemoryBudget.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/MemoryBudget.java
@@ -25,6 +25,11 @@
     return reservedBytes.get();
   }
 
+  /** Returns whether nothing more can be reserved. */
+  boolean isExhausted() {
+    return reservedBytes.get() >= limitBytes;
+  }
+
   /** Reserves bytes; returns false and reserves nothing if the limit does not allow it. */
   boolean tryReserve(long bytes) {
     if (reservedBytes.addAndGet(bytes) <= limitBytes) {
--- a/weirhttp/src/main/java/org/corianderweir/http/ReadAhead.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ReadAhead.java
@@ -12,11 +12,19 @@
  * read ahead, and those that a look at the connection has read. Thread-safe.
  */
 final class ReadAhead {
-  /** Bytes after which reading pauses, so that a close behind fewer bytes is still noticed. */
+  /**
+   * Bytes that are held before reading pauses. While fewer are held, reading goes on, so that the
+   * end of the connection is noticed.
+   */
   static final int LIMIT_BYTES = 16 * 1024;
 
+  /**
+   * Bytes of a read while there is no memory for bytes that are held, so that thousands of
+   * connections together hold little more than the budget.
+   */
+  private static final int SMALL_READ_BYTES = 2 * 1024;
+
   private static final int PROBE_BYTES = 1;
-  private static final int REST_BYTES = 2 * 1024;
   private static final byte[] NONE = new byte[0];
 
   private final MemoryBudget budget;
@@ -43,6 +51,9 @@
    */
   synchronized Optional<byte[]> read(SocketChannel channel, ByteBuffer space) {
     space.clear();
+    if (budget.isExhausted()) {
+      space.limit(SMALL_READ_BYTES);
+    }
     int count;
     try {
       count = channel.read(space);
@@ -111,7 +122,7 @@
         if (isFull()) {
           break;
         }
-        bytes = ByteBuffer.allocate(REST_BYTES);
+        bytes = ByteBuffer.allocate(SMALL_READ_BYTES);
         count = channel.read(bytes);
       }
       if (count < 0) {
@@ -132,7 +143,7 @@
   }
 
   private boolean isFull() {
-    return size() >= LIMIT_BYTES;
+    return size() >= LIMIT_BYTES || (size() > 0 && budget.isExhausted());
   }
 
   private int size() {
--- a/weirhttp/src/main/java/org/corianderweir/http/RequestHead.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/RequestHead.java
@@ -1,5 +1,6 @@
 package org.corianderweir.http;
 
+import java.util.Locale;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Method;
@@ -36,7 +37,7 @@
     HttpResponsePacket packet = packet(response.status());
     packet.setContentLength(response.body().length);
     for (HttpHeader field : response.headers().fields()) {
-      switch (field.name().toLowerCase(java.util.Locale.ROOT)) {
+      switch (field.name().toLowerCase(Locale.ROOT)) {
         case "content-length", "transfer-encoding", "connection" -> {
           // The framing and the end of the connection are the listener's.
         }
--- a/weirhttp/src/main/java/org/corianderweir/http/RequestReader.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/RequestReader.java
@@ -1,5 +1,6 @@
 package org.corianderweir.http;
 
+import java.util.Objects;
 import java.util.Optional;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.http.HttpContent;
@@ -183,11 +184,20 @@
             pipeline,
             head(),
             request.get(),
-            listener.handler().mayRunBeside(request.get()),
+            mayRunBeside(request.get()),
             requestLease,
             nowNanoseconds));
   }
 
+  private boolean mayRunBeside(HttpRequest request) {
+    try {
+      return listener.handler().mayRunBeside(request);
+    } catch (RuntimeException failure) {
+      // Handling the request shows the failure in its turn.
+      return false;
+    }
+  }
+
   private void refuseUnlessAdded(BodyBuffer.Addition addition) {
     switch (addition) {
       case ADDED -> {
@@ -206,15 +216,15 @@
   }
 
   private RequestHead head() {
-    return java.util.Objects.requireNonNull(head);
+    return Objects.requireNonNull(head);
   }
 
   private BodyBuffer body() {
-    return java.util.Objects.requireNonNull(body);
+    return Objects.requireNonNull(body);
   }
 
   private MemoryLease lease() {
-    return java.util.Objects.requireNonNull(lease);
+    return Objects.requireNonNull(lease);
   }
 
   private void endLease() {
--- a/weirhttp/src/test/java/org/corianderweir/http/PipeliningTest.java
+++ b/weirhttp/src/test/java/org/corianderweir/http/PipeliningTest.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongPredicate;
 import java.util.stream.IntStream;
 import org.corianderweir.http.PipeliningCaller.Answer;
 import org.testng.annotations.AfterMethod;
@@ -421,6 +422,74 @@
     }
   }
 
+  /** Callers that send without reading must not together hold more memory than the budget. */
+  @Test
+  public void bytesReadAheadOfManyCallersAreBounded() throws Exception {
+    int callerCount = 60;
+    int smallBytes = 200_000;
+    memory = new BodyMemory(smallBytes, LARGE_MEMORY_BYTES);
+    HttpListener bounded =
+        startListener(new HttpListenerOptions("bounded", "127.0.0.1", 0, BODY_LIMIT_BYTES, 2));
+    List<PipeliningCaller> callers = new ArrayList<>();
+    String request = "GET /safe/1 HTTP/1.1\r\nHost: here\r\nX: " + "x".repeat(500) + "\r\n\r\n";
+    try {
+      for (int caller = 0; caller < callerCount; caller++) {
+        callers.add(new PipeliningCaller(bounded.port()));
+        callers.getLast().send(request.repeat(80));
+      }
+      held.awaitStarted(callerCount);
+      TimeUnit.MILLISECONDS.sleep(300);
+      long most = smallBytes + 64 * 1024 + callerCount * 3_000L;
+      assertTrue(
+          memory.small().reservedBytes() < most, "reserved " + memory.small().reservedBytes());
+    } finally {
+      for (PipeliningCaller caller : callers) {
+        caller.close();
+      }
+      bounded.stop(0);
+    }
+    awaitReserved(memory.small(), bytes -> bytes == 0);
+  }
+
+  /**
+   * While reading is paused at the bound, the end of a connection is behind bytes that are not
+   * read. The caller's system refuses the first response, so that the second one shows it.
+   */
+  @Test
+  public void callerThatLeavesWhileReadingIsPausedIsNoticedByTheResponses() throws Exception {
+    StringBuilder requests = new StringBuilder();
+    for (int index = 0; index < 1_000; index++) {
+      requests.append(
+          "GET /safe/%d HTTP/1.1\r\nHost: here\r\nX: %s\r\n\r\n".formatted(index, "x".repeat(500)));
+    }
+    try (PipeliningCaller caller = new PipeliningCaller(listener.port())) {
+      caller.send(requests.toString());
+      held.awaitStarted(CallerPipeline.REQUEST_LIMIT);
+    }
+    held.respond("/safe/0");
+    TimeUnit.MILLISECONDS.sleep(100);
+    held.respond("/safe/1");
+    for (int index = 2; index < CallerPipeline.REQUEST_LIMIT; index++) {
+      awaitCancelled(held.answer("/safe/" + index));
+    }
+    awaitReserved(memory.small(), bytes -> bytes == 0);
+  }
+
+  /** The end of a connection was behind the bytes of further requests and was not noticed. */
+  @Test
+  public void callerThatLeavesBehindManyRequestsIsNoticed() throws Exception {
+    String[] targets =
+        IntStream.range(0, 100).mapToObj(index -> "/safe/" + index).toArray(String[]::new);
+    try (PipeliningCaller caller = new PipeliningCaller(listener.port())) {
+      caller.send(gets(targets));
+      held.awaitStarted(CallerPipeline.REQUEST_LIMIT);
+    }
+    for (int index = 0; index < CallerPipeline.REQUEST_LIMIT; index++) {
+      awaitCancelled(held.answer("/safe/" + index));
+    }
+    assertEquals(held.started().size(), CallerPipeline.REQUEST_LIMIT);
+  }
+
   /** A request that is sent too slowly must not cut off the one that is in progress before it. */
   @Test
   public void slowRequestDoesNotCutOffTheOneBeforeIt() throws Exception {
@@ -556,8 +625,7 @@
     assertTrue(answer.isCancelled());
   }
 
-  private static void awaitReserved(MemoryBudget budget, java.util.function.LongPredicate condition)
-      throws Exception {
+  private static void awaitReserved(MemoryBudget budget, LongPredicate condition) throws Exception {
     for (int attempt = 0; attempt < 500 && !condition.test(budget.reservedBytes()); attempt++) {
       TimeUnit.MILLISECONDS.sleep(10);
     }
