--- a/weirhttp/src/main/java/org/corianderweir/http/MemoryBudget.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/MemoryBudget.java
@@ -25,6 +25,11 @@
     return reservedBytes.get();
   }
 
+  /** Returns whether nothing more can be reserved. */
+  boolean isExhausted() {
+    return reservedBytes.get() >= limitBytes;
+  }
+
   /** Reserves bytes; returns false and reserves nothing if the limit does not allow it. */
   boolean tryReserve(long bytes) {
     if (reservedBytes.addAndGet(bytes) <= limitBytes) {
@@ -34,6 +39,11 @@
     return false;
   }
 
+  /** Reserves bytes that are held already, also above the limit. */
+  void reserve(long bytes) {
+    reservedBytes.addAndGet(bytes);
+  }
+
   /** Gives bytes back, and tells those who wait for them. */
   void release(long bytes) {
     reservedBytes.addAndGet(-bytes);
