Kinds of requests

Cause: the flag idempotent knows only safe and everything else, so downloads would never be repeated, and a misspelt kind could not be told from unsafe. Change: the sealed type RequestKind (safe, unsafe, upload, download, unknown) replaces the flag; TrafficRoute.idempotent() asks the kind. Ruled out: refusing a configuration with an unknown word, since one route would then hold up all others.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
@@ -11,9 +11,13 @@
 import org.corianderweir.logic.traffic.SendOutcome;
 import org.corianderweir.logic.traffic.ServerCondition;
 import org.corianderweir.logic.traffic.ServerState;
+import org.corianderweir.logic.traffic.TrafficIndex;
 import org.corianderweir.model.FailureDescription;
 import org.corianderweir.model.timeline.EventCode;
 import org.corianderweir.model.traffic.CallerOrganisation;
+import org.corianderweir.model.traffic.RequestKind;
+import org.corianderweir.model.traffic.TrafficConfiguration;
+import org.corianderweir.model.traffic.TrafficRoute;
 
 /** Logs and counts each decision about a request, with the inputs of the decision. */
 final class RequestLog {
@@ -23,6 +27,7 @@
   private final EventLog events;
   private final MetricRegistry metrics;
   private volatile long revision;
+  private long latestVersion = Long.MIN_VALUE;
 
   RequestLog(EventLog events, MetricRegistry metrics) {
     this.events = events;
@@ -41,6 +46,24 @@
                 view.servers().size(),
                 String.join(",", view.evacuatedZones()),
                 view.members().size()));
+    view.index().map(TrafficIndex::configuration).ifPresent(this::configurationInForce);
+  }
+
+  /** Logs the routes of a new configuration whose kind is unknown. */
+  private void configurationInForce(TrafficConfiguration configuration) {
+    if (configuration.version() == latestVersion) {
+      return;
+    }
+    latestVersion = configuration.version();
+    for (TrafficRoute route : configuration.routes()) {
+      if (route.kind() instanceof RequestKind.Unknown unknown) {
+        events.record(
+            EventCode.ROUTE_KIND_UNKNOWN,
+            sanitize(route.name()),
+            "kind=\"%s\" version=%d counts-as=unsafe"
+                .formatted(sanitize(unknown.word()), latestVersion));
+      }
+    }
   }
 
   void rejected(RequestAttributes attributes, Admission.Rejected rejected, int status) {
--- a/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
+++ b/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
@@ -30,6 +30,8 @@
   CONFIGURATION_UNKNOWN(2004, Severity.WARNING, "Configuration change with unknown outcome"),
   /** A document of the configuration was unreadable and was not used. */
   CONFIGURATION_UNREADABLE(2005, Severity.ERROR, "Configuration document unreadable"),
+  /** A route has a kind that this version does not know; its requests run at most once. */
+  ROUTE_KIND_UNKNOWN(2006, Severity.WARNING, "Route of unknown kind"),
   /** A service of the platform can't be reached. */
   PLATFORM_LOST(2101, Severity.WARNING, "Platform service lost"),
   /** A service of the platform answers again. */
--- a/weirlib/src/main/java/org/corianderweir/model/traffic/TrafficRoute.java
+++ b/weirlib/src/main/java/org/corianderweir/model/traffic/TrafficRoute.java
@@ -10,7 +10,7 @@
  * @param name unique name
  * @param host value of the {@code Host} header field that selects the route
  * @param pathPrefix prefix of the path that selects the route; begins and ends with a slash
- * @param idempotent whether requests are idempotent and may run more than once
+ * @param kind what requests do, which decides whether they may run more than once
  * @param timeout longest time until the final answer
  * @param targetLatency latency within which an answer is most useful
  * @param priority priority of requests; 0 is the most urgent
@@ -25,7 +25,7 @@
     String name,
     String host,
     String pathPrefix,
-    boolean idempotent,
+    RequestKind kind,
     Duration timeout,
     Duration targetLatency,
     int priority,
@@ -39,4 +39,9 @@
     weightedServices = List.copyOf(weightedServices);
     allowedRegions = Set.copyOf(allowedRegions);
   }
+
+  /** Returns whether requests are idempotent and may run more than once. */
+  public boolean idempotent() {
+    return kind.mayRunAgain();
+  }
 }
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficFixture.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficFixture.java
@@ -13,6 +13,7 @@
 import org.corianderweir.model.traffic.CallerOrganisation;
 import org.corianderweir.model.traffic.FleetMember;
 import org.corianderweir.model.traffic.InstanceLocation;
+import org.corianderweir.model.traffic.RequestKind;
 import org.corianderweir.model.traffic.ServerRegistration;
 import org.corianderweir.model.traffic.ServiceSettings;
 import org.corianderweir.model.traffic.TrafficConfiguration;
@@ -44,7 +45,7 @@
         name,
         "rota.example",
         "/" + name + "/",
-        idempotent,
+        idempotent ? RequestKind.SAFE : RequestKind.UNSAFE,
         Duration.ofSeconds(2),
         Duration.ofMillis(600),
         1,
