The fourth figure of Server-Load scales the work expected at a server

Cause: a seventh of a customer's servers works 2.5 times slower at any moment, and which ones changes twice a second. The latency average of a server (half-life 2 s) follows too late, so requests for new objects keep going to slow servers. Change: ServerLoad holds the four figures; each is bounded where it is read and counts by itself, and a list that is too long or doubled counts for nothing. ServerState keeps the speed for half a second with a falling weight, and ServerChoice multiplies the expected work by it. The latency average leaves out what the speed explains, so that it does not count twice. Ruled out: letting the speed replace the latency average, since a server that says 100 and is slow all the same would then be preferred. Measured: all tests of weirhttp (175), weirlib (758), platform and weirdaemon (150) pass in one run; the other modules compile. No load was played against it yet.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
@@ -94,6 +94,11 @@
               () ->
                   director.conditionCounts(time.monotonicNanoseconds()).getOrDefault(condition, 0));
     }
+    for (String speed : List.of("usual", "slow", "unknown")) {
+      metrics.gauge(
+          "servers.speed." + speed,
+          () -> () -> director.speedCounts(time.monotonicNanoseconds()).getOrDefault(speed, 0));
+    }
     metricsEndpoint = new MetricsEndpoint(self.host(), settings.metricsPort(), metrics);
     entryService =
         new EntryService(
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
+import java.util.Optional;
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.logic.traffic.Admission;
 import org.corianderweir.logic.traffic.AdmittedRequest;
@@ -23,6 +24,7 @@
 final class RequestLog {
   private static final int TEXT_LIMIT_CHARACTERS = 200;
   private static final char DELETE = 127;
+  private static final int PERCENT = 100;
 
   private final EventLog events;
   private final MetricRegistry metrics;
@@ -95,7 +97,7 @@
         EventCode.REQUEST_SENT,
         sanitize(request.attributes().identifier()),
         ("server=%s zone=%s outcome=%s send=%d rank=%d affinity=%s "
-                + "load=%.1f slots=%d failures=%.2f queued=%d took=%d")
+                + "load=%.1f slots=%d speed=%d report=%s failures=%.2f queued=%d took=%d")
             .formatted(
                 server.registration().identifier(),
                 server.registration().zone(),
@@ -107,6 +109,8 @@
                 request.attributes().affinityKey().map(RequestLog::sanitize).orElse(""),
                 server.load(nowNanoseconds),
                 server.registration().slots(),
+                Math.round(PERCENT * server.speedRatio(nowNanoseconds)),
+                age(server.reportAge(nowNanoseconds)),
                 server.failureRatio(nowNanoseconds),
                 request.attributes().queueTime().toMillis(),
                 milliseconds(nowNanoseconds - sentNanoseconds)));
@@ -207,7 +211,11 @@
             snapshot.demandPerSecond(),
             snapshot.instances(),
             snapshot.share(),
-            snapshot.digestAge().map(age -> Long.toString(age.toMillis())).orElse("none"));
+            age(snapshot.digestAge()));
+  }
+
+  private static String age(Optional<Duration> age) {
+    return age.map(known -> Long.toString(known.toMillis())).orElse("none");
   }
 
   private static long milliseconds(long nanoseconds) {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ServerMessageTranslator.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ServerMessageTranslator.java
@@ -17,6 +17,7 @@
 import org.corianderweir.logic.traffic.AnswerVerdict;
 import org.corianderweir.logic.traffic.RequestAttributes;
 import org.corianderweir.logic.traffic.SendOutcome;
+import org.corianderweir.logic.traffic.ServerLoad;
 import org.corianderweir.model.traffic.HeaderNames;
 import org.corianderweir.model.traffic.ServerRegistration;
 
@@ -29,6 +30,8 @@
   private static final String LEAVING_MARK = "1";
   private static final String RETRY_AFTER = "Retry-After";
   private static final Pattern SECONDS = Pattern.compile("[0-9]{1,18}(\\.[0-9]{1,18})?");
+  private static final Pattern FIGURE = Pattern.compile("[0-9]{1,18}");
+  private static final int LOAD_FIGURE_COUNT = 4;
   private static final double LONGEST_PAUSE_SECONDS = 86_400;
   private static final double MILLISECONDS_PER_SECOND = 1_000;
   private static final String CONTENT_ENCODING = "Content-Encoding";
@@ -101,7 +104,7 @@
     HttpHeaders headers = response.headers();
     SendOutcome.ServerReport report =
         new SendOutcome.ServerReport(
-            parseLoad(headers.first(names.serverLoad())),
+            parseLoad(headers.all(names.serverLoad())),
             parseNumber(headers.first(names.coldMilliseconds())),
             headers.all(names.serverLeaving()).equals(List.of(LEAVING_MARK)),
             response.status() == STATUS_UNAVAILABLE
@@ -141,16 +144,25 @@
     return status >= FIRST_SUCCESS_STATUS && status < FIRST_REDIRECTION_STATUS;
   }
 
-  /** Returns the sum of running and waiting requests in a list of running, waiting and slots. */
-  private static OptionalLong parseLoad(Optional<String> text) {
-    String[] parts = text.orElse("").split(",");
-    if (parts.length < 2) {
-      return OptionalLong.empty();
-    }
-    OptionalLong running = parseNumber(Optional.of(parts[0].trim()));
-    OptionalLong waiting = parseNumber(Optional.of(parts[1].trim()));
-    return running.isPresent() && waiting.isPresent()
-        ? OptionalLong.of(running.getAsLong() + waiting.getAsLong())
+  /**
+   * Returns the load in a list of running, waiting, slots and speed. Each figure counts by itself;
+   * of doubled fields and of longer lists none does, since the meaning of their figures is unknown.
+   */
+  private static ServerLoad parseLoad(List<String> values) {
+    String[] figures =
+        values.size() == 1 ? values.getFirst().split(",", LOAD_FIGURE_COUNT + 1) : new String[0];
+    return figures.length > LOAD_FIGURE_COUNT
+        ? ServerLoad.NONE
+        : ServerLoad.of(
+            parseFigure(figures, 0),
+            parseFigure(figures, 1),
+            parseFigure(figures, 2),
+            parseFigure(figures, LOAD_FIGURE_COUNT - 1));
+  }
+
+  private static OptionalLong parseFigure(String[] figures, int index) {
+    return index < figures.length && FIGURE.matcher(figures[index].trim()).matches()
+        ? OptionalLong.of(Long.parseLong(figures[index].trim()))
         : OptionalLong.empty();
   }
 
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/SendOutcome.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/SendOutcome.java
@@ -47,16 +47,16 @@
   /**
    * What a server says of itself with an answer.
    *
-   * @param requests number of running and waiting requests
+   * @param load load of the server, as far as it is known
    * @param coldMilliseconds how much longer the server is cold, in milliseconds
    * @param leaving whether the server leaves
    * @param pause time for which the server wants no requests from this instance; zero for none
    */
   record ServerReport(
-      OptionalLong requests, OptionalLong coldMilliseconds, boolean leaving, Duration pause) {
+      ServerLoad load, OptionalLong coldMilliseconds, boolean leaving, Duration pause) {
     /** Creates a report of a server that stays and asks for no pause. */
-    public ServerReport(OptionalLong requests, OptionalLong coldMilliseconds) {
-      this(requests, coldMilliseconds, false, Duration.ZERO);
+    public ServerReport(ServerLoad load, OptionalLong coldMilliseconds) {
+      this(load, coldMilliseconds, false, Duration.ZERO);
     }
   }
 }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerChoice.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerChoice.java
@@ -6,7 +6,8 @@
 /**
  * Chooses among the candidates for an affinity key the server with the lowest expected latency. The
  * latency is a ratio to the usual latency of the service. A server that has handled the key
- * recently is preferred even if the request has to wait there for some time.
+ * recently is preferred even if the request has to wait there for some time. The speed that a
+ * server reports scales all work on it.
  */
 final class ServerChoice {
   /** Latency on a server that has not handled the key recently, compared with one that has. */
@@ -82,7 +83,7 @@
     double spread = sticky ? 0 : load / slots;
     double latencyRatio = Math.max(1, server.latencyRatio(nowNanoseconds));
     double remote = server.region().equals(region) ? 0 : REMOTE_LATENCY_RATIO;
-    return (work + waiting + spread) * latencyRatio
+    return (work + waiting + spread) * latencyRatio * server.speedRatio(nowNanoseconds)
         + FAILURE_LATENCY_RATIO * server.failureRatio(nowNanoseconds)
         + remote;
   }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
@@ -1,5 +1,6 @@
 package org.corianderweir.logic.traffic;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -15,6 +16,8 @@
   /** Number of entry instances that share the rate limit of a cold server. */
   private static final int COLD_SERVER_OWNER_COUNT = 3;
 
+  private static final Duration LONGEST_RETURN_DELAY = Duration.ofMillis(500);
+
   private static final int DEPARTED_LIMIT = 1_024;
 
   private final FleetMember self;
@@ -72,10 +75,29 @@
     }
   }
 
-  /** Records that a server said that it leaves. */
-  void recordLeaving(ServerState server) {
-    server.recordLeaving();
-    placements.remove(server.registration().service());
+  /** Records what a server says of itself with an answer. */
+  void recordReport(ServerState server, SendOutcome.ServerReport report, long nowNanoseconds) {
+    if (report.leaving()) {
+      server.recordLeaving();
+      placements.remove(server.registration().service());
+    }
+    if (!report.pause().isZero()) {
+      server.recordPause(report.pause(), returnDelay(server, report.pause()), nowNanoseconds);
+    }
+    server.recordLoad(report.load(), nowNanoseconds);
+    report
+        .coldMilliseconds()
+        .ifPresent(
+            remaining -> server.recordColdRemaining(Duration.ofMillis(remaining), nowNanoseconds));
+  }
+
+  /** Returns a delay after a pause that differs by instance and server. */
+  private Duration returnDelay(ServerState server, Duration pause) {
+    double position =
+        Hashing.uniform(
+            Hashing.hash(self.name()), Hashing.hash(server.registration().identifier()));
+    Duration longest = pause.compareTo(LONGEST_RETURN_DELAY) < 0 ? pause : LONGEST_RETURN_DELAY;
+    return Duration.ofNanos(Math.round(position * longest.toNanos()));
   }
 
   /** Returns whether the object stands for a server that is registered now. */
@@ -92,6 +114,15 @@
     return counts;
   }
 
+  /** Returns the number of servers by the label of the speed that they reported. */
+  Map<String, Integer> speedCounts(long nowNanoseconds) {
+    Map<String, Integer> counts = new HashMap<>();
+    servers
+        .values()
+        .forEach(server -> counts.merge(server.speedLabel(nowNanoseconds), 1, Integer::sum));
+    return counts;
+  }
+
   /** Returns the placement on the servers of a service that may get requests. */
   Placement placement(String service) {
     return placements.computeIfAbsent(service, this::createPlacement);
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerState.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerState.java
@@ -1,6 +1,7 @@
 package org.corianderweir.logic.traffic;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.corianderweir.model.Durations;
 import org.corianderweir.model.traffic.ServerRegistration;
@@ -16,6 +17,20 @@
    */
   private static final long REPORT_LIFETIME_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
+  /**
+   * Time in which the weight of a reported speed decreases to zero. The speed of a machine changes
+   * about twice a second, so an older report says nothing about the present speed.
+   */
+  private static final long SPEED_LIFETIME_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private static final int USUAL_SPEED_PERCENT = 100;
+
+  /** A server that reports to be faster than this is faulty and must not draw all requests. */
+  private static final double SMALLEST_SPEED_RATIO = 0.5;
+
+  /** Work that takes this many times as long as usual counts as slow in the metrics. */
+  private static final double SLOW_SPEED_RATIO = 1.5;
+
   private static final long INITIAL_EJECTION_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
   private static final long MAXIMUM_EJECTION_NANOSECONDS = TimeUnit.SECONDS.toNanos(4);
   private static final int EJECTION_LOSS_COUNT = 2;
@@ -50,6 +65,8 @@
   private long noResponseSinceNanoseconds;
   private int requestsOfOtherInstances;
   private long reportedNanoseconds;
+  private double speedRatio = 1;
+  private long speedNanoseconds;
   private double failureRatio;
   private double latencyRatio = 1;
   private long observedNanoseconds;
@@ -67,6 +84,7 @@
     this.registration = registration;
     this.region = region;
     reportedNanoseconds = nowNanoseconds - REPORT_LIFETIME_NANOSECONDS;
+    speedNanoseconds = nowNanoseconds - REPORT_LIFETIME_NANOSECONDS;
     observedNanoseconds = nowNanoseconds;
     ejectedUntilNanoseconds = nowNanoseconds;
     pausedUntilNanoseconds = nowNanoseconds;
@@ -105,14 +123,17 @@
     inFlight--;
   }
 
-  /**
-   * Records the number of running and waiting requests that the server reported, without the
-   * answered one.
-   */
-  void recordLoad(long requests, long nowNanoseconds) {
-    int reported = Math.clamp(requests, 0, Integer.MAX_VALUE);
-    requestsOfOtherInstances = Math.max(0, reported - inFlight);
-    reportedNanoseconds = nowNanoseconds;
+  /** Records the load that the server reported, without the answered request. */
+  void recordLoad(ServerLoad load, long nowNanoseconds) {
+    if (load.requests().isPresent()) {
+      requestsOfOtherInstances = Math.max(0, load.requests().getAsInt() - inFlight);
+      reportedNanoseconds = nowNanoseconds;
+    }
+    if (load.speedPercent().isPresent()) {
+      double reported = (double) load.speedPercent().getAsInt() / USUAL_SPEED_PERCENT;
+      speedRatio = Math.max(SMALLEST_SPEED_RATIO, reported);
+      speedNanoseconds = nowNanoseconds;
+    }
   }
 
   /** Records how much longer the server reports to be cold. */
@@ -196,9 +217,12 @@
         && nowNanoseconds - noResponseSinceNanoseconds > UNRESPONSIVE_THRESHOLD_NANOSECONDS;
   }
 
-  /** Records a successful answer and the ratio of its latency to the route's average. */
+  /**
+   * Records a successful answer and the ratio of its latency to the route's average. What the
+   * reported speed explains is left out, since the speed counts by itself and ends sooner.
+   */
   void recordSuccess(double observedLatencyRatio, long nowNanoseconds) {
-    observe(0, observedLatencyRatio, nowNanoseconds);
+    observe(0, observedLatencyRatio / speedRatio(nowNanoseconds), nowNanoseconds);
     consecutiveLosses = 0;
     ejectionNanoseconds = INITIAL_EJECTION_NANOSECONDS;
   }
@@ -237,12 +261,41 @@
     return inFlight + requestsOfOtherInstances * weight;
   }
 
+  /**
+   * Returns how much longer than usual work takes on the server now, by its last report; 1 if it
+   * reported no speed recently.
+   */
+  public double speedRatio(long nowNanoseconds) {
+    double age = nowNanoseconds - speedNanoseconds;
+    double weight = Math.max(0, 1 - age / SPEED_LIFETIME_NANOSECONDS);
+    return 1 + (speedRatio - 1) * weight;
+  }
+
+  /** Returns a short name for the speed of the server, for the metrics. */
+  String speedLabel(long nowNanoseconds) {
+    if (nowNanoseconds - speedNanoseconds >= SPEED_LIFETIME_NANOSECONDS) {
+      return "unknown";
+    }
+    return speedRatio >= SLOW_SPEED_RATIO ? "slow" : "usual";
+  }
+
+  /** Returns the age of the newest reported load or speed; empty if it has no weight any more. */
+  public Optional<Duration> reportAge(long nowNanoseconds) {
+    long age = Math.min(nowNanoseconds - reportedNanoseconds, nowNanoseconds - speedNanoseconds);
+    return age < REPORT_LIFETIME_NANOSECONDS
+        ? Optional.of(Duration.ofNanos(Math.max(0, age)))
+        : Optional.empty();
+  }
+
   /** Returns the ratio of recent requests that failed. */
   public double failureRatio(long nowNanoseconds) {
     return failureRatio * decayFactor(nowNanoseconds);
   }
 
-  /** Returns the ratio of the server's latency to the average of its routes. */
+  /**
+   * Returns the ratio of the server's latency to the average of its routes, beyond what its
+   * reported speed explains.
+   */
   public double latencyRatio(long nowNanoseconds) {
     return 1 + (latencyRatio - 1) * decayFactor(nowNanoseconds);
   }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -28,8 +28,6 @@
   /** Time after which a caller may retry at another instance, which needs no time to prepare. */
   private static final Duration OTHER_INSTANCE_RETRY_AFTER = Duration.ofMillis(1);
 
-  private static final Duration LONGEST_RETURN_DELAY = Duration.ofMillis(500);
-
   /**
    * Ratio of a cold server's rate limit that its owners together use, since they may have different
    * views of the fleet.
@@ -199,6 +197,11 @@
     return servers.conditionCounts(nowNanoseconds);
   }
 
+  /** Returns the number of servers by the label of the speed that they reported. */
+  public synchronized Map<String, Integer> speedCounts(long nowNanoseconds) {
+    return servers.speedCounts(nowNanoseconds);
+  }
+
   /** Records the outcome of a send and decides what to do next. */
   public synchronized NextStep sendEnded(
       AdmittedRequest request,
@@ -219,7 +222,7 @@
       }
       case SendOutcome.NotRun notRun -> {
         server.recordResponse(nowNanoseconds);
-        recordReport(server, notRun.report(), nowNanoseconds);
+        servers.recordReport(server, notRun.report(), nowNanoseconds);
         if (notRun.misdirected()) {
           server.recordLoss(true, nowNanoseconds);
         } else {
@@ -230,7 +233,7 @@
       }
       case SendOutcome.Answered answer -> {
         server.recordResponse(nowNanoseconds);
-        recordReport(server, answer.report(), nowNanoseconds);
+        servers.recordReport(server, answer.report(), nowNanoseconds);
         request.recordUncertainOutcome();
         if (answer.serverError()) {
           server.recordFailure(nowNanoseconds);
@@ -380,30 +383,6 @@
         && retryBudget(request.service()).tryAcquireRetry(instanceCount, nowNanoseconds);
   }
 
-  private void recordReport(
-      ServerState server, SendOutcome.ServerReport report, long nowNanoseconds) {
-    if (report.leaving()) {
-      servers.recordLeaving(server);
-    }
-    if (!report.pause().isZero()) {
-      server.recordPause(report.pause(), returnDelay(server, report.pause()), nowNanoseconds);
-    }
-    report.requests().ifPresent(requests -> server.recordLoad(requests, nowNanoseconds));
-    report
-        .coldMilliseconds()
-        .ifPresent(
-            remaining -> server.recordColdRemaining(Duration.ofMillis(remaining), nowNanoseconds));
-  }
-
-  /** Returns a delay after a pause that differs by instance and server. */
-  private Duration returnDelay(ServerState server, Duration pause) {
-    double position =
-        Hashing.uniform(
-            Hashing.hash(self.name()), Hashing.hash(server.registration().identifier()));
-    Duration longest = pause.compareTo(LONGEST_RETURN_DELAY) < 0 ? pause : LONGEST_RETURN_DELAY;
-    return Duration.ofNanos(Math.round(position * longest.toNanos()));
-  }
-
   private Optional<ServerChoice.Chosen> chooseServer(AdmittedRequest request, long nowNanoseconds) {
     boolean sticky = request.route().sticky() && request.attributes().affinityKey().isPresent();
     String affinityKey =
--- a/weirlib/src/main/java/org/corianderweir/model/traffic/HeaderNames.java
+++ b/weirlib/src/main/java/org/corianderweir/model/traffic/HeaderNames.java
@@ -11,7 +11,8 @@
  * @param affinity affinity key of a request: the object that it concerns
  * @param notRun present if a server did not run a request and never will
  * @param serverStamp signature of a server's answer
- * @param serverLoad numbers of running requests, waiting requests and slots of a server
+ * @param serverLoad numbers of running requests, waiting requests and slots of a server, and its
+ *     speed
  * @param coldMilliseconds remaining time for which a server is cold, in milliseconds
  * @param serverIdentifier identifier of the server that answers
  * @param serverLeaving present if the server that answers leaves
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/ServerConditionTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/ServerConditionTest.java
@@ -318,6 +318,6 @@
   }
 
   private static SendOutcome.ServerReport report(boolean leaving, Duration pause) {
-    return new SendOutcome.ServerReport(OptionalLong.empty(), OptionalLong.empty(), leaving, pause);
+    return new SendOutcome.ServerReport(ServerLoad.NONE, OptionalLong.empty(), leaving, pause);
   }
 }
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficDirectorTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/TrafficDirectorTest.java
@@ -24,7 +24,7 @@
   private static final long NOW = TrafficFixture.NOW;
   private static final long MILLISECOND = Duration.ofMillis(1).toNanos();
   private static final SendOutcome.ServerReport NO_REPORT =
-      new SendOutcome.ServerReport(OptionalLong.empty(), OptionalLong.empty());
+      new SendOutcome.ServerReport(ServerLoad.NONE, OptionalLong.empty());
 
   private final TrafficRoute read = TrafficFixture.route("read", true, Set.of());
   private final TrafficRoute book = TrafficFixture.route("book", false, Set.of());
@@ -352,8 +352,9 @@
     TrafficDirector director = director(TrafficFixture.servers("north-a", 1));
     AdmittedRequest request = admit(director, "book", "1");
     ServerState server = server(director.nextStep(request, NOW));
+    ServerLoad reported = ServerLoad.of(load, load, load, load);
     SendOutcome outcome =
-        new SendOutcome.Answered(true, false, new SendOutcome.ServerReport(load, cold));
+        new SendOutcome.Answered(true, false, new SendOutcome.ServerReport(reported, cold));
     NextStep step = director.sendEnded(request, server, outcome, NOW, NOW + MILLISECOND);
     assertTrue(step instanceof NextStep.Deliver, "" + step);
     long later = NOW + Duration.ofDays(2).toNanos();
