Large uploads are spread over the servers

Cause: a server ends if the requests that it holds exceed its memory, and nothing kept the large bodies of one object from being at its one preferred server together. Change: each instance counts the body bytes and the large bodies (over 64 kB) that it has in progress at each server. Bodies of other kinds are counted but placed as before. Ruled out: a bound for the whole zone, since it would need a message before each send.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
@@ -94,6 +94,7 @@
               () ->
                   director.conditionCounts(time.monotonicNanoseconds()).getOrDefault(condition, 0));
     }
+    metrics.gauge("servers.body.bytes", () -> director::bodyBytesInProgress);
     for (String speed : List.of("usual", "slow", "unknown")) {
       metrics.gauge(
           "servers.speed." + speed,
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
@@ -97,7 +97,8 @@
         EventCode.REQUEST_SENT,
         sanitize(request.attributes().identifier()),
         ("server=%s zone=%s outcome=%s send=%d rank=%d affinity=%s "
-                + "load=%.1f slots=%d speed=%d report=%s failures=%.2f queued=%d took=%d")
+                + "load=%.1f slots=%d speed=%d report=%s body=%d bodies=%d failures=%.2f "
+                + "queued=%d took=%d")
             .formatted(
                 server.registration().identifier(),
                 server.registration().zone(),
@@ -111,6 +112,8 @@
                 server.registration().slots(),
                 Math.round(PERCENT * server.speedRatio(nowNanoseconds)),
                 age(server.reportAge(nowNanoseconds)),
+                request.bodyBytes(),
+                server.bodyBytesInProgress(),
                 server.failureRatio(nowNanoseconds),
                 request.attributes().queueTime().toMillis(),
                 milliseconds(nowNanoseconds - sentNanoseconds)));
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/AdmittedRequest.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/AdmittedRequest.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.corianderweir.model.traffic.CallerOrganisation;
+import org.corianderweir.model.traffic.RequestKind;
 import org.corianderweir.model.traffic.TrafficRoute;
 
 /** An admitted request and the state of its sends to servers. Not thread-safe. */
@@ -12,6 +13,7 @@
   private final TrafficRoute route;
   private final Optional<CallerOrganisation> organisation;
   private final String service;
+  private final long bodyBytes;
   private final long arrivedNanoseconds;
   private final long deadlineNanoseconds;
   private final long configurationVersion;
@@ -26,6 +28,7 @@
       TrafficRoute route,
       Optional<CallerOrganisation> organisation,
       String service,
+      long bodyBytes,
       long arrivedNanoseconds,
       long deadlineNanoseconds,
       long configurationVersion) {
@@ -33,6 +36,7 @@
     this.route = route;
     this.organisation = organisation;
     this.service = service;
+    this.bodyBytes = bodyBytes;
     this.arrivedNanoseconds = arrivedNanoseconds;
     this.deadlineNanoseconds = deadlineNanoseconds;
     this.configurationVersion = configurationVersion;
@@ -58,6 +62,16 @@
     return service;
   }
 
+  /** Returns the length of the request's body. */
+  public long bodyBytes() {
+    return bodyBytes;
+  }
+
+  /** Returns whether the request is an upload whose body is large. */
+  boolean isLargeUpload() {
+    return route.kind() instanceof RequestKind.Upload && ServerState.isLargeBody(bodyBytes);
+  }
+
   /** Returns the monotonic time at which the request arrived. */
   public long arrivedNanoseconds() {
     return arrivedNanoseconds;
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerChoice.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerChoice.java
@@ -28,6 +28,15 @@
   /** Running and waiting requests per slot above which a server rejects further ones. */
   private static final double FULL_LOAD_REQUESTS_PER_SLOT = 3.5;
 
+  /**
+   * Additional latency of a server for a large body, for each megabyte of bodies that this instance
+   * has in progress there. Bodies of 140 kB in progress outweigh that a server has handled the
+   * object recently.
+   */
+  private static final double BODY_LATENCY_RATIO_PER_MEGABYTE = 16;
+
+  private static final double MEGABYTE = 1024 * 1024;
+
   private ServerChoice() {}
 
   /**
@@ -45,9 +54,18 @@
    */
   record Chosen(ServerState server, int rank) {}
 
-  /** Returns the usable candidate with the lowest expected latency. */
+  /**
+   * Returns the usable candidate with the lowest expected latency.
+   *
+   * @param largeBody whether the request has a large body, which servers with fewer body bytes in
+   *     progress are preferred for
+   */
   static Optional<Chosen> best(
-      List<Candidate> candidates, String region, boolean sticky, long nowNanoseconds) {
+      List<Candidate> candidates,
+      String region,
+      boolean sticky,
+      boolean largeBody,
+      long nowNanoseconds) {
     Optional<Chosen> best = Optional.empty();
     double bestLatencyRatio = Double.MAX_VALUE;
     for (int rank = 0; rank < candidates.size(); rank++) {
@@ -55,7 +73,9 @@
       if (!candidate.usable()) {
         continue;
       }
-      double latencyRatio = expectedLatencyRatio(candidate, rank, region, sticky, nowNanoseconds);
+      double bodies = largeBody ? bodyLatencyRatio(candidate.server()) : 0;
+      double latencyRatio =
+          expectedLatencyRatio(candidate, rank, region, sticky, nowNanoseconds) + bodies;
       if (latencyRatio < bestLatencyRatio) {
         bestLatencyRatio = latencyRatio;
         best = Optional.of(new Chosen(candidate.server(), rank));
@@ -70,6 +90,10 @@
         >= FULL_LOAD_REQUESTS_PER_SLOT * server.registration().slots();
   }
 
+  private static double bodyLatencyRatio(ServerState server) {
+    return BODY_LATENCY_RATIO_PER_MEGABYTE * server.bodyBytesInProgress() / MEGABYTE;
+  }
+
   private static double expectedLatencyRatio(
       Candidate candidate, int rank, String region, boolean sticky, long nowNanoseconds) {
     ServerState server = candidate.server();
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
@@ -10,12 +10,19 @@
 import org.corianderweir.model.traffic.FleetMember;
 import org.corianderweir.model.traffic.InstanceLocation;
 import org.corianderweir.model.traffic.ServerRegistration;
+import org.corianderweir.model.traffic.ServiceSettings;
 
 /** The backend servers and their state as seen by this instance. Not thread-safe. */
 final class ServerPool {
   /** Number of entry instances that share the rate limit of a cold server. */
   private static final int COLD_SERVER_OWNER_COUNT = 3;
 
+  /**
+   * Ratio of a cold server's rate limit that its owners together use, since they may have different
+   * views of the fleet.
+   */
+  private static final double COLD_RATE_SAFETY_RATIO = 0.9;
+
   private static final Duration LONGEST_RETURN_DELAY = Duration.ofMillis(500);
 
   private static final int DEPARTED_LIMIT = 1_024;
@@ -123,11 +130,35 @@
     return counts;
   }
 
+  /** Returns the number of body bytes that this instance has in progress at all servers. */
+  long bodyBytesInProgress() {
+    return servers.values().stream().mapToLong(ServerState::bodyBytesInProgress).sum();
+  }
+
   /** Returns the placement on the servers of a service that may get requests. */
   Placement placement(String service) {
     return placements.computeIfAbsent(service, this::createPlacement);
   }
 
+  /** Returns whether a server is warm or this instance's share of a cold server has room. */
+  boolean isWithinColdRate(String service, ServerState server, long nowNanoseconds) {
+    if (!server.isCold(nowNanoseconds)) {
+      return true;
+    }
+    double rate =
+        view.index()
+            .map(index -> index.configuration().services().get(service))
+            .map(ServiceSettings::coldRequestsPerSecond)
+            .orElse(0.0);
+    if (rate <= 0) {
+      return true;
+    }
+    int owners = coldServerOwnerCount(server);
+    return owners > 0
+        && server.coldRequests(nowNanoseconds) + 1
+            <= Math.max(1, COLD_RATE_SAFETY_RATIO * rate / owners);
+  }
+
   /**
    * Returns how many entry instances share the rate limit of a cold server, or 0 if this instance
    * may not send to the server. The owners are chosen by rendezvous hashing, so that only a few
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerState.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerState.java
@@ -31,6 +31,9 @@
   /** Work that takes this many times as long as usual counts as slow in the metrics. */
   private static final double SLOW_SPEED_RATIO = 1.5;
 
+  /** Bodies above this length are large. Most uploads are below it and go to the best server. */
+  private static final long LARGE_BODY_BYTES = 64 * 1024;
+
   private static final long INITIAL_EJECTION_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
   private static final long MAXIMUM_EJECTION_NANOSECONDS = TimeUnit.SECONDS.toNanos(4);
   private static final int EJECTION_LOSS_COUNT = 2;
@@ -62,6 +65,8 @@
   private ServerRegistration registration;
   private final String region;
   private int inFlight;
+  private long bodyBytesInProgress;
+  private int largeBodyCount;
   private long noResponseSinceNanoseconds;
   private int requestsOfOtherInstances;
   private long reportedNanoseconds;
@@ -109,7 +114,14 @@
     registration = newRegistration;
   }
 
-  void recordSend(long nowNanoseconds) {
+  /**
+   * Records that a request is sent to the server.
+   *
+   * @param bodyBytes length of its body
+   */
+  void recordSend(long bodyBytes, long nowNanoseconds) {
+    bodyBytesInProgress += bodyBytes;
+    largeBodyCount += isLargeBody(bodyBytes) ? 1 : 0;
     if (inFlight == 0) {
       noResponseSinceNanoseconds = nowNanoseconds;
     }
@@ -119,7 +131,10 @@
     }
   }
 
-  void recordEnd() {
+  /** Records that a send of a request with a body of the given length has ended. */
+  void recordEnd(long bodyBytes) {
+    bodyBytesInProgress -= bodyBytes;
+    largeBodyCount -= isLargeBody(bodyBytes) ? 1 : 0;
     inFlight--;
   }
 
@@ -287,6 +302,21 @@
         : Optional.empty();
   }
 
+  /** Returns whether a body of the given length is large. */
+  static boolean isLargeBody(long bodyBytes) {
+    return bodyBytes > LARGE_BODY_BYTES;
+  }
+
+  /** Returns the number of body bytes of this instance's requests in flight to the server. */
+  public long bodyBytesInProgress() {
+    return bodyBytesInProgress;
+  }
+
+  /** Returns the number of large bodies of this instance's requests in flight to the server. */
+  int largeBodyCount() {
+    return largeBodyCount;
+  }
+
   /** Returns the ratio of recent requests that failed. */
   public double failureRatio(long nowNanoseconds) {
     return failureRatio * decayFactor(nowNanoseconds);
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -1,7 +1,6 @@
 package org.corianderweir.logic.traffic;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -11,7 +10,6 @@
 import org.corianderweir.model.traffic.CallerOrganisation;
 import org.corianderweir.model.traffic.FleetMember;
 import org.corianderweir.model.traffic.InstanceLocation;
-import org.corianderweir.model.traffic.ServiceSettings;
 import org.corianderweir.model.traffic.TrafficRoute;
 
 /**
@@ -28,12 +26,6 @@
   /** Time after which a caller may retry at another instance, which needs no time to prepare. */
   private static final Duration OTHER_INSTANCE_RETRY_AFTER = Duration.ofMillis(1);
 
-  /**
-   * Ratio of a cold server's rate limit that its owners together use, since they may have different
-   * views of the fleet.
-   */
-  private static final double COLD_RATE_SAFETY_RATIO = 0.9;
-
   /**
    * Time before a lower number of instances takes effect, because instances that are cut off from
    * the fleet keep using their shares.
@@ -43,6 +35,7 @@
   private final FleetMember self;
   private FleetBounds bounds;
   private final ServerPool servers;
+  private final ServerSearch search;
   private final RouteLatencyAverages latencyAverages = new RouteLatencyAverages();
   private final SmoothWeightedRoundRobin serviceRotation = new SmoothWeightedRoundRobin();
   private final Map<String, RetryBudgetShare> retryBudgets = new HashMap<>();
@@ -57,6 +50,7 @@
     this.self = self;
     this.bounds = bounds;
     servers = new ServerPool(self, location);
+    search = new ServerSearch(self.region(), servers);
   }
 
   /** Applies a new view of the fleet. */
@@ -109,12 +103,12 @@
       RequestAttributes attributes, long bodyBytes, long nowNanoseconds) {
     return switch (match(attributes, bodyBytes)) {
       case RouteMatch.None none -> none.rejected();
-      case RouteMatch.Found found -> admit(attributes, found, nowNanoseconds);
+      case RouteMatch.Found found -> admit(attributes, found, bodyBytes, nowNanoseconds);
     };
   }
 
   private Admission admit(
-      RequestAttributes attributes, RouteMatch.Found match, long nowNanoseconds) {
+      RequestAttributes attributes, RouteMatch.Found match, long bodyBytes, long nowNanoseconds) {
     TrafficRoute route = match.route();
     Optional<CallerOrganisation> organisation = match.organisation();
     long deadlineNanoseconds = nowNanoseconds + timeToDeadline(attributes, route);
@@ -136,6 +130,7 @@
             route,
             organisation,
             service,
+            bodyBytes,
             nowNanoseconds,
             deadlineNanoseconds,
             match.index().configuration().version()));
@@ -169,13 +164,13 @@
     if (!request.mayHaveRun() && isStoppingBefore(request.deadlineNanoseconds(), nowNanoseconds)) {
       return new NextStep.Reject(RejectionReason.STOPPING, OTHER_INSTANCE_RETRY_AFTER);
     }
-    Optional<ServerChoice.Chosen> chosen = chooseServer(request, nowNanoseconds);
+    Optional<ServerChoice.Chosen> chosen = search.search(request, nowNanoseconds);
     if (chosen.isEmpty()) {
       return giveUpWithoutServer(request, nowNanoseconds);
     }
     ServerState server = chosen.get().server();
     request.recordSend(server.registration().identifier(), chosen.get().rank());
-    server.recordSend(nowNanoseconds);
+    server.recordSend(request.bodyBytes(), nowNanoseconds);
     return new NextStep.Send(server, Duration.ofNanos(timeLeft));
   }
 
@@ -202,6 +197,11 @@
     return servers.speedCounts(nowNanoseconds);
   }
 
+  /** Returns the number of body bytes that this instance has in progress at all servers. */
+  public synchronized long bodyBytesInProgress() {
+    return servers.bodyBytesInProgress();
+  }
+
   /** Records the outcome of a send and decides what to do next. */
   public synchronized NextStep sendEnded(
       AdmittedRequest request,
@@ -209,7 +209,7 @@
       SendOutcome outcome,
       long sentNanoseconds,
       long nowNanoseconds) {
-    server.recordEnd();
+    server.recordEnd(request.bodyBytes());
     return switch (outcome) {
       case SendOutcome.Withheld unused -> {
         request.recordNotRun(false);
@@ -383,78 +383,6 @@
         && retryBudget(request.service()).tryAcquireRetry(instanceCount, nowNanoseconds);
   }
 
-  private Optional<ServerChoice.Chosen> chooseServer(AdmittedRequest request, long nowNanoseconds) {
-    boolean sticky = request.route().sticky() && request.attributes().affinityKey().isPresent();
-    String affinityKey =
-        sticky
-            ? request.route().name() + '/' + request.attributes().affinityKey().get()
-            : request.attributes().identifier();
-    Placement placement = servers.placement(request.service());
-    long keyHash = Hashing.hash(affinityKey);
-    List<ServerState> candidates =
-        placement.candidates(keyHash, self.region(), request::allowsRegion);
-    Optional<ServerChoice.Chosen> best =
-        chooseBest(request, candidates, sticky, false, nowNanoseconds);
-    if (best.isEmpty()) {
-      best = chooseBest(request, candidates, sticky, true, nowNanoseconds);
-    }
-    boolean closed =
-        best.isEmpty()
-            && candidates.stream().anyMatch(server -> server.condition(nowNanoseconds).isClosed());
-    return closed
-        ? chooseBest(
-            request,
-            placement.allCandidates(keyHash, self.region(), request::allowsRegion),
-            sticky,
-            true,
-            nowNanoseconds)
-        : best;
-  }
-
-  private Optional<ServerChoice.Chosen> chooseBest(
-      AdmittedRequest request,
-      List<ServerState> rankedServers,
-      boolean sticky,
-      boolean lastResort,
-      long nowNanoseconds) {
-    List<ServerChoice.Candidate> candidates = new ArrayList<>();
-    for (int rank = 0; rank < rankedServers.size(); rank++) {
-      ServerState server = rankedServers.get(rank);
-      boolean healthy =
-          lastResort
-              || (!server.isEjected(nowNanoseconds)
-                  && !server.isUnresponsive(nowNanoseconds)
-                  && !ServerChoice.isFull(server, nowNanoseconds));
-      boolean usable =
-          healthy
-              && !server.condition(nowNanoseconds).isClosed()
-              && server.takesMoreAfterPause(nowNanoseconds)
-              && !request.hasTried(server.registration().identifier())
-              && acceptsRequest(request.service(), server, nowNanoseconds);
-      candidates.add(new ServerChoice.Candidate(server, rank == 0, usable));
-    }
-    return ServerChoice.best(candidates, self.region(), sticky, nowNanoseconds);
-  }
-
-  /** Returns whether a server is warm or this instance's share of a cold server has room. */
-  private boolean acceptsRequest(String service, ServerState server, long nowNanoseconds) {
-    if (!server.isCold(nowNanoseconds)) {
-      return true;
-    }
-    double rate =
-        view.index()
-            .map(index -> index.configuration().services().get(service))
-            .map(ServiceSettings::coldRequestsPerSecond)
-            .orElse(0.0);
-    if (rate <= 0) {
-      return true;
-    }
-    int owners = servers.coldServerOwnerCount(server);
-    return owners > 0
-        && server.coldRequests(nowNanoseconds) + 1
-            <= Math.max(1, COLD_RATE_SAFETY_RATIO * rate / owners);
-  }
-
   private RetryBudgetShare retryBudget(String service) {
     return retryBudgets.computeIfAbsent(service, unused -> new RetryBudgetShare(bounds));
   }
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/ServerConditionTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/ServerConditionTest.java
@@ -295,6 +295,7 @@
         TrafficFixture.route(route, route.equals("read"), Set.of()),
         Optional.empty(),
         "desk",
+        0,
         now,
         now + Duration.ofSeconds(2).toNanos(),
         1);
