--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
+import java.util.Optional;
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.logic.traffic.Admission;
 import org.corianderweir.logic.traffic.AdmittedRequest;
@@ -11,18 +12,24 @@
 import org.corianderweir.logic.traffic.SendOutcome;
 import org.corianderweir.logic.traffic.ServerCondition;
 import org.corianderweir.logic.traffic.ServerState;
+import org.corianderweir.logic.traffic.TrafficIndex;
 import org.corianderweir.model.FailureDescription;
 import org.corianderweir.model.timeline.EventCode;
 import org.corianderweir.model.traffic.CallerOrganisation;
+import org.corianderweir.model.traffic.RequestKind;
+import org.corianderweir.model.traffic.TrafficConfiguration;
+import org.corianderweir.model.traffic.TrafficRoute;
 
 /** Logs and counts each decision about a request, with the inputs of the decision. */
 final class RequestLog {
   private static final int TEXT_LIMIT_CHARACTERS = 200;
   private static final char DELETE = 127;
+  private static final int PERCENT = 100;
 
   private final EventLog events;
   private final MetricRegistry metrics;
   private volatile long revision;
+  private long latestVersion = Long.MIN_VALUE;
 
   RequestLog(EventLog events, MetricRegistry metrics) {
     this.events = events;
@@ -41,6 +48,24 @@
                 view.servers().size(),
                 String.join(",", view.evacuatedZones()),
                 view.members().size()));
+    view.index().map(TrafficIndex::configuration).ifPresent(this::configurationInForce);
+  }
+
+  /** Logs the routes of a new configuration whose kind is unknown. */
+  private void configurationInForce(TrafficConfiguration configuration) {
+    if (configuration.version() == latestVersion) {
+      return;
+    }
+    latestVersion = configuration.version();
+    for (TrafficRoute route : configuration.routes()) {
+      if (route.kind() instanceof RequestKind.Unknown unknown) {
+        events.record(
+            EventCode.ROUTE_KIND_UNKNOWN,
+            sanitize(route.name()),
+            "kind=\"%s\" version=%d counts-as=unsafe"
+                .formatted(sanitize(unknown.word()), latestVersion));
+      }
+    }
   }
 
   void rejected(RequestAttributes attributes, Admission.Rejected rejected, int status) {
@@ -72,7 +97,8 @@
         EventCode.REQUEST_SENT,
         sanitize(request.attributes().identifier()),
         ("server=%s zone=%s outcome=%s send=%d rank=%d affinity=%s "
-                + "load=%.1f slots=%d failures=%.2f queued=%d took=%d")
+                + "load=%.1f slots=%d speed=%d report=%s body=%d bodies=%d failures=%.2f "
+                + "queued=%d took=%d")
             .formatted(
                 server.registration().identifier(),
                 server.registration().zone(),
@@ -84,6 +110,10 @@
                 request.attributes().affinityKey().map(RequestLog::sanitize).orElse(""),
                 server.load(nowNanoseconds),
                 server.registration().slots(),
+                Math.round(PERCENT * server.speedRatio(nowNanoseconds)),
+                age(server.reportAge(nowNanoseconds)),
+                request.bodyBytes(),
+                server.bodyBytesInProgress(),
                 server.failureRatio(nowNanoseconds),
                 request.attributes().queueTime().toMillis(),
                 milliseconds(nowNanoseconds - sentNanoseconds)));
@@ -184,7 +214,11 @@
             snapshot.demandPerSecond(),
             snapshot.instances(),
             snapshot.share(),
-            snapshot.digestAge().map(age -> Long.toString(age.toMillis())).orElse("none"));
+            age(snapshot.digestAge()));
+  }
+
+  private static String age(Optional<Duration> age) {
+    return age.map(known -> Long.toString(known.toMillis())).orElse("none");
   }
 
   private static long milliseconds(long nanoseconds) {
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/ServerConditionTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/ServerConditionTest.java
@@ -295,6 +295,7 @@
         TrafficFixture.route(route, route.equals("read"), Set.of()),
         Optional.empty(),
         "desk",
+        0,
         now,
         now + Duration.ofSeconds(2).toNanos(),
         1);
@@ -318,6 +319,6 @@
   }
 
   private static SendOutcome.ServerReport report(boolean leaving, Duration pause) {
-    return new SendOutcome.ServerReport(OptionalLong.empty(), OptionalLong.empty(), leaving, pause);
+    return new SendOutcome.ServerReport(ServerLoad.NONE, OptionalLong.empty(), leaving, pause);
   }
 }
