--- a/weirbench/src/main/java/org/corianderweir/bench/relay/RelaySimulation.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/relay/RelaySimulation.java
@@ -13,6 +13,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.corianderweir.bench.simulation.EventScheduler;
 import org.corianderweir.logic.platform.DecodedItem;
+import org.corianderweir.logic.relay.StoreSnapshotPart;
 import org.corianderweir.logic.relay.StoreUpdate;
 import org.corianderweir.model.traffic.FleetMember;
 import org.corianderweir.model.traffic.ServerRegistration;
@@ -117,7 +118,7 @@
     }
     long endNanoseconds = options.faultDuration().plus(options.calmDuration()).toNanos();
     scheduleChanges(endNanoseconds - bound.toNanos(), bound);
-    scheduleFaults();
+    scheduleFaults(bound);
     scheduler.runUntil(endNanoseconds);
     return result();
   }
@@ -166,6 +167,10 @@
     send(sender, recipient, () -> recipient.receive(sender.member().name(), update));
   }
 
+  void deliver(SimulatedInstance sender, SimulatedInstance recipient, StoreSnapshotPart part) {
+    send(sender, recipient, () -> recipient.receive(sender.member().name(), part));
+  }
+
   void deliverRequest(SimulatedInstance sender, SimulatedInstance recipient, long afterRevision) {
     send(sender, recipient, () -> recipient.receiveRequest(sender.member().name(), afterRevision));
   }
@@ -244,6 +249,12 @@
     scheduler.schedule(bound.toNanos(), () -> check(change));
   }
 
+  private void changeMany(Duration bound) {
+    for (int number = 0; number < options.changesPerFault(); number++) {
+      change(bound);
+    }
+  }
+
   /** Checks that a change is in force where the instance could have read it from the store. */
   private void check(Change change) {
     boolean replaced = openChanges.get(change.server()) != change;
@@ -265,20 +276,20 @@
     openChanges.remove(change.server());
   }
 
-  private void scheduleFaults() {
+  private void scheduleFaults(Duration bound) {
     if (options.faultsPerMinute() <= 0) {
       return;
     }
     long mean = (long) (MINUTE_NANOSECONDS / options.faultsPerMinute());
     long next = Duration.ofSeconds(2).toNanos();
     while (next < options.faultDuration().toNanos()) {
-      scheduleAt(next, this::injectFault);
+      scheduleAt(next, () -> injectFault(bound));
       next += 1 + random.nextLong(2 * mean);
     }
   }
 
   /** Harms the relay of a zone, some other instance, or all instances of a zone. */
-  private void injectFault() {
+  private void injectFault(Duration bound) {
     List<SimulatedInstance> group =
         new ArrayList<>(groups.values()).get(random.nextInt(groups.size()));
     List<SimulatedInstance> running = group.stream().filter(SimulatedInstance::isRunning).toList();
@@ -300,6 +311,9 @@
     for (SimulatedInstance instance : harmed) {
       harm(instance, kind, duration);
     }
+    if (options.changesPerFault() > 0) {
+      scheduler.schedule(duration / 2, () -> changeMany(bound));
+    }
   }
 
   private void harm(SimulatedInstance instance, FaultKind kind, long duration) {
--- a/weirbench/src/main/java/org/corianderweir/bench/relay/RelaySimulationOptions.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/relay/RelaySimulationOptions.java
@@ -13,6 +13,7 @@
  * @param meanChangeInterval mean time between changes of the store
  * @param faultsPerMinute mean number of faults in a minute
  * @param messageLossRatio ratio of the messages between instances that are lost
+ * @param changesPerFault changes of the store at once in the middle of each fault
  */
 public record RelaySimulationOptions(
     long seed,
@@ -22,7 +23,8 @@
     Duration calmDuration,
     Duration meanChangeInterval,
     double faultsPerMinute,
-    double messageLossRatio) {
+    double messageLossRatio,
+    int changesPerFault) {
   private static final Duration DEFAULT_CALM = Duration.ofSeconds(8);
   private static final Duration DEFAULT_CHANGE_INTERVAL = Duration.ofMillis(700);
 
@@ -37,6 +39,7 @@
         duration,
         DEFAULT_CHANGE_INTERVAL,
         0,
+        0,
         0);
   }
 
@@ -56,6 +59,21 @@
         DEFAULT_CALM,
         DEFAULT_CHANGE_INTERVAL,
         faultsPerMinute,
-        messageLossRatio);
+        messageLossRatio,
+        0);
+  }
+
+  /** Returns the same options with many changes of the store in the middle of each fault. */
+  public RelaySimulationOptions withChangesPerFault(int changes) {
+    return new RelaySimulationOptions(
+        seed,
+        groupCount,
+        instancesPerGroup,
+        faultDuration,
+        calmDuration,
+        meanChangeInterval,
+        faultsPerMinute,
+        messageLossRatio,
+        changes);
   }
 }
--- a/weirbench/src/main/java/org/corianderweir/bench/relay/SimulatedInstance.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/relay/SimulatedInstance.java
@@ -13,6 +13,7 @@
 import org.corianderweir.kernel.TaskScheduler;
 import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.platform.MetadataStore;
+import org.corianderweir.logic.relay.StoreSnapshotPart;
 import org.corianderweir.logic.relay.StoreUpdate;
 import org.corianderweir.logic.traffic.FleetFacts;
 import org.corianderweir.logic.traffic.FleetView;
@@ -181,9 +182,7 @@
 
   private void answerWatch(CompletableFuture<WatchResult> answer, long revision) {
     if (!answer.isDone()) {
-      answer.complete(
-          new WatchResult.Changes(
-              simulation.store().changesAfter(revision), simulation.store().revision()));
+      answer.complete(simulation.store().watchResult(revision));
     }
   }
 
@@ -241,6 +240,11 @@
     other(instance).ifPresent(other -> simulation.deliver(this, other, update));
   }
 
+  @Override
+  public void send(String instance, StoreSnapshotPart part) {
+    other(instance).ifPresent(other -> simulation.deliver(this, other, part));
+  }
+
   @Override
   public void requestChanges(String instance, long afterRevision) {
     other(instance).ifPresent(other -> simulation.deliverRequest(this, other, afterRevision));
@@ -260,6 +264,10 @@
     runOrHold(() -> watcher.receive(sender, update));
   }
 
+  void receive(String sender, StoreSnapshotPart part) {
+    runOrHold(() -> watcher.receive(sender, part));
+  }
+
   void receiveRequest(String sender, long afterRevision) {
     runOrHold(() -> watcher.answerRequest(sender, afterRevision));
   }
--- a/weirbench/src/main/java/org/corianderweir/bench/relay/SimulatedStore.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/relay/SimulatedStore.java
@@ -7,9 +7,13 @@
 import java.util.TreeMap;
 import org.corianderweir.model.store.StoreChange;
 import org.corianderweir.model.store.StoreItem;
+import org.corianderweir.model.store.WatchResult;
 
 /** The metadata store of a simulation: its items, its changes and the watches that wait for one. */
 final class SimulatedStore {
+  /** Changes in one answer of the platform's store. */
+  private static final int ANSWER_LIMIT = 500;
+
   private final Map<String, StoreItem> items = new TreeMap<>();
   private final List<StoreChange> changes = new ArrayList<>();
   private final List<Runnable> waiting = new ArrayList<>();
@@ -23,12 +27,16 @@
     return List.copyOf(items.values());
   }
 
-  List<StoreChange> changesAfter(long known) {
+  /** Returns the first changes after a revision, as many as one answer has. */
+  WatchResult.Changes watchResult(long known) {
     int first = changes.size();
     while (first > 0 && changes.get(first - 1).revision() > known) {
       first--;
     }
-    return List.copyOf(changes.subList(first, changes.size()));
+    int end = Math.min(changes.size(), first + ANSWER_LIMIT);
+    return new WatchResult.Changes(
+        changes.subList(first, end),
+        end < changes.size() ? changes.get(end - 1).revision() : revision);
   }
 
   void put(String key, String value) {
--- a/weirbench/src/test/java/org/corianderweir/bench/relay/RelaySimulationTest.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/relay/RelaySimulationTest.java
@@ -20,6 +20,15 @@
   /** The bound of the grown deployments, where frames that wait too long are dropped. */
   private static final Duration GROWN_IN_FORCE_BOUND = Duration.ofMillis(4_000);
 
+  /**
+   * The bound of the deployments with thousands of changes. A relay whose watch got lost without a
+   * word is replaced after 2.2 s, and its deputy then reads 500 changes with each call of 118 ms.
+   */
+  private static final Duration MANY_CHANGES_BOUND = Duration.ofMillis(3_000);
+
+  /** More than the history of a relay holds, and more than three answers of the store have. */
+  private static final int MANY_CHANGES = 1_600;
+
   private static final int LARGE_ZONE = 30;
   private static final Logger PROJECT_LOGGER = Logger.getLogger("org.corianderweir");
 
@@ -36,13 +45,16 @@
   @DataProvider
   public Object[][] fleets() {
     return new Object[][] {
-      {3, 1, 20.0, 500, 0.0, IN_FORCE_BOUND},
-      {3, 3, 20.0, 1_000, 0.0, IN_FORCE_BOUND},
-      {6, 3, 30.0, 300, 0.0, IN_FORCE_BOUND},
-      {9, 11, 40.0, 20, 0.0, IN_FORCE_BOUND},
-      {2, 30, 30.0, 20, 0.0, IN_FORCE_BOUND},
-      {3, 3, 20.0, 1_000, 0.05, GROWN_IN_FORCE_BOUND},
-      {9, 11, 40.0, 10, 0.05, GROWN_IN_FORCE_BOUND}
+      {3, 1, 20.0, 500, 0.0, 0, IN_FORCE_BOUND},
+      {3, 3, 20.0, 1_000, 0.0, 0, IN_FORCE_BOUND},
+      {6, 3, 30.0, 300, 0.0, 0, IN_FORCE_BOUND},
+      {9, 11, 40.0, 20, 0.0, 0, IN_FORCE_BOUND},
+      {2, 30, 30.0, 20, 0.0, 0, IN_FORCE_BOUND},
+      {3, 3, 20.0, 1_000, 0.05, 0, GROWN_IN_FORCE_BOUND},
+      {9, 11, 40.0, 10, 0.05, 0, GROWN_IN_FORCE_BOUND},
+      {3, 3, 20.0, 200, 0.0, MANY_CHANGES, MANY_CHANGES_BOUND},
+      {3, 11, 20.0, 50, 0.0, MANY_CHANGES, MANY_CHANGES_BOUND},
+      {3, 3, 20.0, 200, 0.05, MANY_CHANGES, GROWN_IN_FORCE_BOUND}
     };
   }
 
@@ -57,17 +69,19 @@
       double faultsPerMinute,
       int seedCount,
       double messageLossRatio,
+      int changesPerFault,
       Duration bound) {
     for (long seed = 1; seed <= seedCount; seed++) {
       RelaySimulation.Result result =
           new RelaySimulation(
                   RelaySimulationOptions.faulty(
-                      seed,
-                      zones,
-                      instancesPerZone,
-                      Duration.ofSeconds(25),
-                      faultsPerMinute,
-                      messageLossRatio))
+                          seed,
+                          zones,
+                          instancesPerZone,
+                          Duration.ofSeconds(25),
+                          faultsPerMinute,
+                          messageLossRatio)
+                      .withChangesPerFault(changesPerFault))
               .run(bound);
       assertEquals(
           List.of(result.backwards(), result.lateChanges(), result.unequal()),
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreRelay.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreRelay.java
@@ -5,6 +5,7 @@
 import java.util.stream.Collectors;
 import org.corianderweir.daemon.peer.PeerTransport;
 import org.corianderweir.kernel.ControlExecutor;
+import org.corianderweir.logic.relay.StoreSnapshotPart;
 import org.corianderweir.logic.relay.StoreUpdate;
 import org.corianderweir.logic.traffic.FleetView;
 import org.corianderweir.model.topology.EntryInstance;
@@ -37,6 +38,8 @@
                   switch (received.message()) {
                     case StoreRelayMessage.Update update ->
                         watcher.receive(sender, update.update());
+                    case StoreRelayMessage.Snapshot snapshot ->
+                        watcher.receive(sender, snapshot.part());
                     case StoreRelayMessage.ChangesRequest request ->
                         watcher.answerRequest(sender, request.afterRevision());
                   }
@@ -62,6 +65,11 @@
     sendMessage(instance, new StoreRelayMessage.Update(update));
   }
 
+  @Override
+  public void send(String instance, StoreSnapshotPart part) {
+    sendMessage(instance, new StoreRelayMessage.Snapshot(part));
+  }
+
   @Override
   public void requestChanges(String instance, long afterRevision) {
     sendMessage(instance, new StoreRelayMessage.ChangesRequest(afterRevision));
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreWatcher.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreWatcher.java
@@ -15,6 +15,7 @@
 import org.corianderweir.logic.relay.RelayReaction;
 import org.corianderweir.logic.relay.RelayTiming;
 import org.corianderweir.logic.relay.StoreFollower;
+import org.corianderweir.logic.relay.StoreSnapshotPart;
 import org.corianderweir.logic.relay.StoreUpdate;
 import org.corianderweir.logic.relay.WatchDecision;
 import org.corianderweir.logic.traffic.FleetFacts;
@@ -83,6 +84,10 @@
   private Optional<Long> outageStartNanoseconds = Optional.empty();
   private boolean listed;
   private boolean listingNeeded;
+
+  /** Whether changes could not be applied and were not read again since. */
+  private boolean incomplete;
+
   private boolean heartbeatScheduled;
   private boolean waitingAsFollower;
   private long scheduledDecision;
@@ -98,6 +103,9 @@
     /** Sends an update to one instance. */
     void send(String instance, StoreUpdate update);
 
+    /** Sends a part of a snapshot to one instance. */
+    void send(String instance, StoreSnapshotPart part);
+
     /** Requests the changes after a revision from an instance. */
     void requestChanges(String instance, long afterRevision);
   }
@@ -150,35 +158,68 @@
 
   /** Applies an update of another instance of the zone. */
   public void receive(String sender, StoreUpdate update) {
-    if (!listed || stopped) {
-      return;
+    if (listed && !stopped) {
+      long now = time.monotonicNanoseconds();
+      react(sender, follower.receive(sender, update, now), update.inTouch(), now);
     }
-    long now = time.monotonicNanoseconds();
-    switch (follower.receive(sender, update, now)) {
+  }
+
+  /** Applies a part of a snapshot of another instance of the zone. */
+  public void receive(String sender, StoreSnapshotPart part) {
+    if (listed && !stopped) {
+      long now = time.monotonicNanoseconds();
+      react(sender, follower.receive(sender, part, now), part.confirmation().inTouch(), now);
+    }
+  }
+
+  private void react(String sender, RelayReaction reaction, boolean inTouch, long now) {
+    switch (reaction) {
       case RelayReaction.None unused -> {}
       case RelayReaction.Request request ->
           updates.ifPresent(to -> to.requestChanges(sender, request.afterRevision()));
       case RelayReaction.Apply apply -> {
-        apply
-            .recoveredAge()
-            .ifPresent(recoveredAge -> facts.storeRecovered(now - recoveredAge.toNanos()));
-        perform(() -> applyChanges(apply.changes(), now), () -> listingNeeded = true);
+        recordRecovery(apply.recoveredAge(), now);
+        perform(() -> applyChanges(apply.changes(), now), this::needListing);
+      }
+      case RelayReaction.Replace replace -> {
+        recordRecovery(replace.recoveredAge(), now);
+        perform(
+            () -> {
+              reportUnreadable(facts.replaceAll(replace.items(), replace.revision(), now));
+              publish();
+            },
+            this::needListing);
       }
     }
     if (outageStartNanoseconds.isPresent() && !follower.timeUntilWatch(now).isZero()) {
       endOutage(now, sender);
     }
-    if (waitingAsFollower && !update.inTouch()) {
+    if (waitingAsFollower && !inTouch) {
       scheduleDecision(follower.timeUntilWatch(now));
     }
   }
 
-  /** Answers a request for the changes after a revision if they are known. */
+  private void recordRecovery(Optional<Duration> recoveredAge, long now) {
+    recoveredAge.ifPresent(age -> facts.storeRecovered(now - age.toNanos()));
+  }
+
+  private void needListing() {
+    listingNeeded = true;
+    incomplete = true;
+  }
+
+  /** Answers a request with the changes after a revision or, if they are not known, a snapshot. */
   public void answerRequest(String sender, long afterRevision) {
-    if (listed) {
-      follower
-          .changesAfter(afterRevision, time.monotonicNanoseconds())
-          .ifPresent(update -> updates.ifPresent(to -> to.send(sender, update)));
+    if (!listed || updates.isEmpty()) {
+      return;
+    }
+    Updates to = updates.get();
+    long now = time.monotonicNanoseconds();
+    Optional<StoreUpdate> changes = follower.changesAfter(afterRevision, now);
+    if (changes.isPresent()) {
+      to.send(sender, changes.get());
+    } else if (!incomplete) {
+      follower.snapshot(facts.storedItems(), now).forEach(part -> to.send(sender, part));
     }
   }
 
@@ -205,6 +246,7 @@
     reportUnreadable(facts.replaceAll(itemsByKey.values(), firstRevision, now));
     follower.listed(firstRevision, now);
     listed = true;
+    incomplete = listingNeeded;
     publish();
     watchOrFollow();
   }
@@ -283,7 +325,8 @@
         if (!update.changes().isEmpty()) {
           applyChanges(update.changes(), now);
         }
-        controlExecutor.schedule(WATCH_INTERVAL, this::watchOrFollow);
+        Duration delay = follower.readsOn(now) ? Duration.ZERO : WATCH_INTERVAL;
+        controlExecutor.schedule(delay, this::watchOrFollow);
       }
     }
   }
@@ -336,7 +379,10 @@
             recordSuccess();
             perform(
                 () -> handler.accept(result),
-                () -> controlExecutor.schedule(MAXIMUM_RETRY_DELAY, this::list));
+                () -> {
+                  incomplete = true;
+                  controlExecutor.schedule(MAXIMUM_RETRY_DELAY, this::list);
+                });
           }
         },
         controlExecutor);
--- a/weirlib/src/main/java/org/corianderweir/logic/relay/StoreFollower.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/relay/StoreFollower.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.corianderweir.model.store.StoreChange;
+import org.corianderweir.model.store.StoreItem;
 
 /**
  * Decides whether an entry instance watches the store itself or follows another instance of its
@@ -16,30 +17,50 @@
  * watches if it gets no current updates from an instance before it in the order. Whoever watches
  * sends updates to the whole zone. An update is applied only if it continues at the revision that
  * this instance has reached, so an instance that was paused or is behind can neither bring back an
- * item that was removed nor confirm an old view. A newcomer begins with a listing of the store.
+ * item that was removed nor confirm an old view. An instance that lacks more changes than the
+ * others remember gets a snapshot of the items, which it applies only if it is newer than its own
+ * view. A newcomer begins with a listing of the store.
  *
  * <p>Not thread-safe. Times are monotonic and in nanoseconds.
  */
 public final class StoreFollower {
-  /** Time after which a request for missing changes may be repeated. */
+  /** Time after which a request for missing changes may be repeated; doubled with each repeat. */
   private static final Duration REQUEST_INTERVAL = Duration.ofMillis(300);
 
+  /**
+   * Longest time between requests. A snapshot needs up to a second on a narrow link, and each
+   * further request would add another one to what waits there.
+   */
+  private static final Duration LARGEST_REQUEST_INTERVAL = Duration.ofMillis(1_200);
+
   /** Time after an outage of the store for which updates mention it. */
   private static final Duration RECOVERY_MEMORY = Duration.ofSeconds(5);
 
+  /**
+   * Number of changes from which an answer of the store counts as a part: the store has more. The
+   * platform's store returns at most 500 changes with an answer. Changes that this instance already
+   * had from its zone are not counted, so that only the foremost instance reads on.
+   */
+  private static final int PARTIAL_ANSWER_CHANGES = 256;
+
   private final String self;
   private final String zone;
   private final RelayTiming timing;
   private final StoreHistory history = new StoreHistory();
+  private final SnapshotAssembly assembly = new SnapshotAssembly();
   private List<String> ranking;
   private long revision;
   private long confirmedNanoseconds;
   private long contactNanoseconds;
   private Optional<Long> requestedNanoseconds = Optional.empty();
+  private Duration requestInterval = REQUEST_INTERVAL;
   private Optional<Long> recoveredNanoseconds = Optional.empty();
+  private Optional<Long> aheadNanoseconds = Optional.empty();
+  private long aheadRevision;
   private Optional<String> source = Optional.empty();
   private Optional<String> contact = Optional.empty();
   private boolean storeAnswers;
+  private boolean storeHasMore;
   private boolean watching;
 
   /**
@@ -139,7 +160,10 @@
   public StoreUpdate watched(List<StoreChange> changes, long toRevision, long nowNanoseconds) {
     long fromRevision = revision;
     List<StoreChange> added = advance(changes, toRevision);
-    if (toRevision >= revision) {
+    storeHasMore = added.size() >= PARTIAL_ANSWER_CHANGES;
+    // An answer that is only a part of the changes, or that is older than what another instance
+    // has, does not confirm that the view is current.
+    if (toRevision >= revision && !storeHasMore && !isKnownBehind(nowNanoseconds)) {
       confirmedNanoseconds = nowNanoseconds;
     }
     storeAnswers = true;
@@ -147,6 +171,22 @@
     return update(fromRevision, added, nowNanoseconds);
   }
 
+  /**
+   * Returns whether the next watch begins at once because the last one returned only a part of the
+   * changes. An instance that can get the others from its zone does not call the store for them.
+   */
+  public boolean readsOn(long nowNanoseconds) {
+    return storeHasMore && !isKnownBehind(nowNanoseconds);
+  }
+
+  /** Returns whether another instance lately sent an update that is ahead of this instance. */
+  private boolean isKnownBehind(long nowNanoseconds) {
+    return aheadRevision > revision
+        && aheadNanoseconds
+            .filter(known -> nowNanoseconds - known < timing.silenceLimit().toNanos())
+            .isPresent();
+  }
+
   /** Records that the store does not answer this instance. */
   public void storeLost() {
     storeAnswers = false;
@@ -169,15 +209,54 @@
         .map(changes -> update(requestedRevision, changes, nowNanoseconds));
   }
 
+  /**
+   * Returns a snapshot for an instance that lacks changes which are no longer known.
+   *
+   * @param items all items of the store at the present revision
+   * @return the parts of the snapshot; none if it is too large
+   */
+  public List<StoreSnapshotPart> snapshot(Collection<StoreItem> items, long nowNanoseconds) {
+    return SnapshotDivider.divide(heartbeat(nowNanoseconds), items);
+  }
+
   /** Handles an update of another instance of the zone. */
   public RelayReaction receive(String sender, StoreUpdate update, long nowNanoseconds) {
     if (update.toRevision() < revision) {
       return new RelayReaction.None();
     }
     if (update.fromRevision() > revision) {
+      aheadNanoseconds = Optional.of(nowNanoseconds);
+      aheadRevision = update.toRevision();
       return request(nowNanoseconds);
     }
     List<StoreChange> added = advance(update.changes(), update.toRevision());
+    recordConfirmation(sender, update, nowNanoseconds);
+    return added.isEmpty()
+        ? new RelayReaction.None()
+        : new RelayReaction.Apply(added, update.recoveredAge());
+  }
+
+  /** Handles a part of a snapshot of another instance of the zone. */
+  public RelayReaction receive(String sender, StoreSnapshotPart part, long nowNanoseconds) {
+    StoreUpdate confirmation = part.confirmation();
+    if (confirmation.toRevision() <= revision) {
+      return new RelayReaction.None();
+    }
+    Optional<List<StoreItem>> items = assembly.add(sender, part);
+    requestedNanoseconds = Optional.of(nowNanoseconds);
+    if (items.isEmpty()) {
+      return new RelayReaction.None();
+    }
+    revision = confirmation.toRevision();
+    history.restart(revision);
+    recordConfirmation(sender, confirmation, nowNanoseconds);
+    return new RelayReaction.Replace(items.get(), revision, confirmation.recoveredAge());
+  }
+
+  /** Records an update that the view has reached. */
+  private void recordConfirmation(String sender, StoreUpdate update, long nowNanoseconds) {
+    requestedNanoseconds = Optional.empty();
+    requestInterval = REQUEST_INTERVAL;
     long confirmed = nowNanoseconds - update.age().toNanos();
     if (confirmed - confirmedNanoseconds > 0) {
       confirmedNanoseconds = confirmed;
@@ -187,9 +266,6 @@
     if (update.recoveredAge().isPresent()) {
       recoveredNanoseconds = Optional.of(nowNanoseconds - update.recoveredAge().get().toNanos());
     }
-    return added.isEmpty()
-        ? new RelayReaction.None()
-        : new RelayReaction.Apply(added, update.recoveredAge());
   }
 
   private void recordContact(String sender, boolean inTouch, long nowNanoseconds) {
@@ -210,11 +286,16 @@
   private RelayReaction request(long nowNanoseconds) {
     boolean recent =
         requestedNanoseconds
-            .filter(sent -> nowNanoseconds - sent < REQUEST_INTERVAL.toNanos())
+            .filter(sent -> nowNanoseconds - sent < requestInterval.toNanos())
             .isPresent();
     if (recent) {
       return new RelayReaction.None();
     }
+    if (requestedNanoseconds.isPresent()) {
+      Duration doubled = requestInterval.multipliedBy(2);
+      requestInterval =
+          doubled.compareTo(LARGEST_REQUEST_INTERVAL) < 0 ? doubled : LARGEST_REQUEST_INTERVAL;
+    }
     requestedNanoseconds = Optional.of(nowNanoseconds);
     return new RelayReaction.Request(revision);
   }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/FleetFacts.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/FleetFacts.java
@@ -32,6 +32,8 @@
   /** If fewer than this ratio of the leased items remain, the others expired in an outage. */
   private static final double LEASE_EXPIRY_THRESHOLD_RATIO = 0.75;
 
+  private static final byte[] NO_VALUE = {};
+
   private final StoreSchema schema;
   private final Duration gracePeriod;
   private final Map<String, VersionedItem> itemsByKey = new HashMap<>();
@@ -41,8 +43,14 @@
   private long gracePeriodEndNanoseconds;
   private boolean storeHasRecovered;
   private long revision;
+  private long listedRevision;
 
-  private record VersionedItem(DecodedItem decoded, long revision) {}
+  /** An item with its key, value and revision as they were read; an ignored one has no value. */
+  private record VersionedItem(DecodedItem decoded, StoreItem stored) {
+    long revision() {
+      return stored.revision();
+    }
+  }
 
   /**
    * Creates empty facts.
@@ -84,10 +92,11 @@
   }
 
   /**
-   * Applies a complete listing of the store.
+   * Applies a complete listing of the store, or a snapshot of it that another instance sent.
    *
    * @param listRevision revision at which the listing began; items up to this revision that are
-   *     missing from the listing have been removed
+   *     missing from the listing have been removed. After a newer listing, the items of this one up
+   *     to the newer one's revision are known or have been removed, so they are not applied.
    * @return one line for each item that could not be decoded
    */
   public List<String> replaceAll(
@@ -97,7 +106,9 @@
     long leasedBefore = leasedCount();
     for (StoreItem item : items) {
       present.add(item.key());
-      write(item, unreadable);
+      if (listRevision >= listedRevision || item.revision() > listedRevision) {
+        write(item, unreadable);
+      }
     }
     List<StoreChange.Removed> missing = new ArrayList<>();
     itemsByKey.forEach(
@@ -107,9 +118,20 @@
           }
         });
     remove(missing, leasedBefore, nowNanoseconds);
+    listedRevision = Math.max(listedRevision, listRevision);
     return unreadable;
   }
 
+  /** Returns the items of the store that are in use, without retained and ignored ones. */
+  public List<StoreItem> storedItems() {
+    return itemsByKey.entrySet().stream()
+        .filter(entry -> !retainedUntilNanoseconds.containsKey(entry.getKey()))
+        .map(Map.Entry::getValue)
+        .filter(item -> !(item.decoded() instanceof DecodedItem.Ignored))
+        .map(VersionedItem::stored)
+        .toList();
+  }
+
   /** Returns the time until the next retained item is dropped; empty if none is retained. */
   public Optional<Duration> nextExpiry(long nowNanoseconds) {
     return retainedUntilNanoseconds.values().stream()
@@ -161,7 +183,7 @@
     if (previous != null
         && decoded instanceof DecodedItem.ServerItem server
         && isOlderIncarnation(previous, server)) {
-      itemsByKey.put(item.key(), new VersionedItem(previous.decoded(), item.revision()));
+      itemsByKey.put(item.key(), new VersionedItem(previous.decoded(), item));
       return;
     }
     if (decoded instanceof DecodedItem.ConfigurationItem configuration) {
@@ -171,7 +193,13 @@
         index = Optional.of(new TrafficIndex(configuration.configuration()));
       }
     }
-    itemsByKey.put(item.key(), new VersionedItem(decoded, item.revision()));
+    itemsByKey.put(item.key(), new VersionedItem(decoded, withoutUnusedValue(item, decoded)));
+  }
+
+  private static StoreItem withoutUnusedValue(StoreItem item, DecodedItem decoded) {
+    return decoded instanceof DecodedItem.Ignored
+        ? new StoreItem(item.key(), NO_VALUE, item.revision())
+        : item;
   }
 
   /** Decodes an item. One that fails unexpectedly must not keep the others from being applied. */
@@ -197,7 +225,8 @@
       boolean isRetained = retainedUntilNanoseconds.containsKey(removal.key());
       if (item != null && !isRetained && item.revision() <= removal.revision()) {
         itemsByKey.remove(removal.key());
-        removed.put(removal.key(), new VersionedItem(item.decoded(), removal.revision()));
+        StoreItem stored = new StoreItem(removal.key(), NO_VALUE, removal.revision());
+        removed.put(removal.key(), new VersionedItem(item.decoded(), stored));
       }
     }
     if (!storeHasRecovered
--- a/weirlib/src/main/java/org/corianderweir/protocol/StoreRelayMessageCodec.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/StoreRelayMessageCodec.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.corianderweir.logic.relay.StoreSnapshotPart;
 import org.corianderweir.logic.relay.StoreUpdate;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
@@ -17,6 +18,7 @@
 final class StoreRelayMessageCodec {
   private static final int UPDATE = 70;
   private static final int CHANGES_REQUEST = 71;
+  private static final int SNAPSHOT_PART = 72;
   private static final int CHANGE_LIMIT = 10_000;
 
   /** Stands for the age of an outage that did not happen, in milliseconds. */
@@ -26,7 +28,14 @@
 
   static void pack(MessagePacker packer, StoreRelayMessage message) throws IOException {
     switch (message) {
-      case StoreRelayMessage.Update wrapped -> packUpdate(packer, wrapped.update());
+      case StoreRelayMessage.Update wrapped -> {
+        packer.packInt(UPDATE);
+        packUpdate(packer, wrapped.update());
+      }
+      case StoreRelayMessage.Snapshot snapshot -> {
+        packer.packInt(SNAPSHOT_PART);
+        packSnapshotPart(packer, snapshot.part());
+      }
       case StoreRelayMessage.ChangesRequest request ->
           packer.packInt(CHANGES_REQUEST).packLong(request.afterRevision());
     }
@@ -34,7 +43,6 @@
 
   private static void packUpdate(MessagePacker packer, StoreUpdate update) throws IOException {
     packer
-        .packInt(UPDATE)
         .packLong(update.fromRevision())
         .packLong(update.toRevision())
         .packLong(update.age().toMillis())
@@ -42,21 +50,43 @@
         .packLong(update.recoveredAge().map(Duration::toMillis).orElse(NO_RECOVERY))
         .packArrayHeader(update.changes().size());
     for (StoreChange change : update.changes()) {
-      packer.packString(change.key()).packLong(change.revision());
       switch (change) {
-        case StoreChange.Written written -> {
-          byte[] value = written.item().value();
-          packer.packBinaryHeader(value.length).writePayload(value);
-        }
-        case StoreChange.Removed unused -> packer.packNil();
+        case StoreChange.Written written -> packItem(packer, written.item());
+        case StoreChange.Removed removed ->
+            packer.packString(removed.key()).packLong(removed.revision()).packNil();
       }
     }
   }
 
+  private static void packItem(MessagePacker packer, StoreItem item) throws IOException {
+    packer
+        .packString(item.key())
+        .packLong(item.revision())
+        .packBinaryHeader(item.value().length)
+        .writePayload(item.value());
+  }
+
+  private static void packSnapshotPart(MessagePacker packer, StoreSnapshotPart part)
+      throws IOException {
+    packUpdate(packer, part.confirmation());
+    packer.packString(part.afterKey());
+    if (part.throughKey().isPresent()) {
+      packer.packString(part.throughKey().get());
+    } else {
+      packer.packNil();
+    }
+    packer.packArrayHeader(part.items().size());
+    for (StoreItem item : part.items()) {
+      packItem(packer, item);
+    }
+  }
+
   /** Decodes a message; returns empty if this codec does not know the type number. */
   static Optional<PeerMessage> unpack(int type, MessageUnpacker unpacker) throws IOException {
     return switch (type) {
       case UPDATE -> Optional.of(new StoreRelayMessage.Update(unpackUpdate(unpacker)));
+      case SNAPSHOT_PART ->
+          Optional.of(new StoreRelayMessage.Snapshot(unpackSnapshotPart(unpacker)));
       case CHANGES_REQUEST ->
           Optional.of(new StoreRelayMessage.ChangesRequest(unpacker.unpackLong()));
       default -> Optional.empty();
@@ -97,6 +127,36 @@
             : Optional.of(Duration.ofMillis(recoveredMilliseconds)));
   }
 
+  private static StoreSnapshotPart unpackSnapshotPart(MessageUnpacker unpacker) throws IOException {
+    StoreUpdate confirmation = unpackUpdate(unpacker);
+    String afterKey = unpacker.unpackString();
+    Optional<String> throughKey =
+        unpacker.tryUnpackNil() ? Optional.empty() : Optional.of(unpacker.unpackString());
+    int count = unpacker.unpackArrayHeader();
+    boolean changes =
+        !confirmation.changes().isEmpty()
+            || confirmation.fromRevision() != confirmation.toRevision();
+    boolean reversed = throughKey.filter(key -> key.compareTo(afterKey) <= 0).isPresent();
+    if (count > CHANGE_LIMIT || changes || reversed) {
+      throw invalid("snapshot of the store with too many items, changes or a reversed range");
+    }
+    List<StoreItem> items = new ArrayList<>();
+    String previousKey = afterKey;
+    for (int index = 0; index < count; index++) {
+      if (!(unpackChange(unpacker) instanceof StoreChange.Written written)) {
+        throw invalid("snapshot of the store with a removal");
+      }
+      String key = written.key();
+      boolean beyondRange = throughKey.filter(last -> key.compareTo(last) > 0).isPresent();
+      if (key.compareTo(previousKey) <= 0 || beyondRange) {
+        throw invalid("items of a snapshot of the store are out of order");
+      }
+      previousKey = key;
+      items.add(written.item());
+    }
+    return new StoreSnapshotPart(confirmation, afterKey, throughKey, items);
+  }
+
   private static StoreChange unpackChange(MessageUnpacker unpacker) throws IOException {
     String key = unpacker.unpackString();
     long revision = unpacker.unpackLong();
--- a/weirlib/src/test/java/org/corianderweir/logic/relay/StoreFollowerTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/relay/StoreFollowerTest.java
@@ -1,11 +1,13 @@
 package org.corianderweir.logic.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.LongStream;
 import org.corianderweir.model.store.StoreChange;
 import org.corianderweir.model.store.StoreItem;
 import org.testng.annotations.DataProvider;
@@ -119,6 +121,147 @@
     assertTrue(relay.changesAfter(4_990, at(5_000)).isPresent());
   }
 
+  /** A relay that no longer knew the missing changes did not answer. */
+  @Test
+  public void snapshotReplacesChangesThatAreNoLongerKnown() {
+    StoreFollower relay = follower(ORDER.get(0));
+    StoreFollower follower = follower(ORDER.get(1));
+    relay.listed(5_000, at(100));
+    assertEquals(relay.changesAfter(10, at(100)), Optional.empty());
+    List<StoreItem> items = List.of(item("b", 10, 4_000), item("a", 10, 12));
+    List<StoreSnapshotPart> parts = relay.snapshot(items, at(150));
+    assertEquals(parts.size(), 1);
+    assertEquals(
+        follower.receive(ORDER.get(0), parts.get(0), at(160)),
+        new RelayReaction.Replace(List.of(items.get(1), items.get(0)), 5_000, Optional.empty()));
+    assertEquals(follower.revision(), 5_000);
+    assertEquals(follower.age(at(160)), Duration.ofMillis(50));
+    StoreChange next = written(5_001);
+    relay.watched(List.of(next), 5_001, at(170));
+    assertEquals(
+        follower.receive(ORDER.get(0), relay.changesAfter(5_000, at(170)).orElseThrow(), at(180)),
+        new RelayReaction.Apply(List.of(next), Optional.empty()));
+  }
+
+  /** A relay that was paused sent a snapshot with a server that had left meanwhile. */
+  @Test(dataProvider = "olderRevisions")
+  public void snapshotOfARelayThatIsBehindIsIgnored(long revision) {
+    StoreFollower relay = follower(ORDER.get(0));
+    StoreFollower follower = follower(ORDER.get(1));
+    relay.listed(revision, at(100));
+    follower.listed(50, at(100));
+    StoreSnapshotPart part = relay.snapshot(List.of(item("a", 10, 12)), at(100)).get(0);
+    assertEquals(follower.receive(ORDER.get(0), part, at(110)), new RelayReaction.None());
+    assertEquals(follower.revision(), 50);
+  }
+
+  @DataProvider
+  public Object[][] olderRevisions() {
+    return new Object[][] {{10L}, {49L}, {50L}};
+  }
+
+  /** An incomplete snapshot would remove the items of its missing parts. */
+  @Test
+  public void snapshotIsAppliedWhenItIsComplete() {
+    StoreFollower relay = follower(ORDER.get(0));
+    StoreFollower follower = follower(ORDER.get(1));
+    relay.listed(100, at(100));
+    List<StoreItem> items =
+        List.of(item("a", 200_000, 12), item("b", 200_000, 13), item("c", 200_000, 14));
+    List<StoreSnapshotPart> parts = relay.snapshot(items, at(100));
+    assertEquals(parts.size(), 3);
+    RelayReaction none = new RelayReaction.None();
+    assertEquals(follower.receive(ORDER.get(0), parts.get(2), at(101)), none);
+    assertEquals(follower.receive(ORDER.get(0), parts.get(0), at(102)), none);
+    // Another sender may divide its items in another way, so its parts are not combined with these.
+    assertEquals(follower.receive(ORDER.get(2), parts.get(1), at(103)), none);
+    assertEquals(follower.receive(ORDER.get(0), parts.get(0), at(104)), none);
+    assertEquals(follower.receive(ORDER.get(0), parts.get(2), at(105)), none);
+    assertEquals(
+        follower.receive(ORDER.get(0), parts.get(1), at(106)),
+        new RelayReaction.Replace(items, 100, Optional.empty()));
+  }
+
+  /** Parts of two snapshots of the same revision with other borders left out the keys between. */
+  @Test
+  public void rangesOfASnapshotContinueEachOther() {
+    StoreFollower relay = follower(ORDER.get(0));
+    StoreFollower follower = follower(ORDER.get(1));
+    relay.listed(100, at(100));
+    StoreItem first = item("a", 200_000, 12);
+    StoreItem second = item("b", 50_000, 13);
+    StoreItem last = item("c", 200_000, 14);
+    List<StoreSnapshotPart> narrow =
+        relay.snapshot(List.of(first, item("b", 200_000, 13), last), at(100));
+    List<StoreSnapshotPart> wide = relay.snapshot(List.of(first, second, last), at(100));
+    assertEquals(List.of(narrow.size(), wide.size()), List.of(3, 2));
+    RelayReaction none = new RelayReaction.None();
+    assertEquals(follower.receive(ORDER.get(0), narrow.get(0), at(101)), none);
+    assertEquals(follower.receive(ORDER.get(0), wide.get(1), at(102)), none);
+    assertEquals(
+        follower.receive(ORDER.get(0), wide.get(0), at(103)),
+        new RelayReaction.Replace(List.of(first, second, last), 100, Optional.empty()));
+  }
+
+  /** A snapshot that does not fit on the link between two instances would never be complete. */
+  @Test
+  public void snapshotThatIsTooLargeIsNotSent() {
+    List<StoreItem> items =
+        LongStream.range(0, 16).mapToObj(key -> item("key-" + key, 200_000, key)).toList();
+    assertEquals(follower(ORDER.get(0)).snapshot(items, at(100)), List.of());
+  }
+
+  /** The first 500 of many changes counted as a confirmation that the view was current. */
+  @Test
+  public void partOfTheChangesDoesNotConfirmTheView() {
+    StoreFollower relay = follower(ORDER.get(0));
+    relay.decide(at(0));
+    List<StoreChange> part =
+        LongStream.range(11, 511).mapToObj(StoreFollowerTest::written).toList();
+    relay.watched(part, 510, at(2_000));
+    assertEquals(relay.age(at(2_000)), Duration.ofMillis(2_000));
+    assertTrue(relay.readsOn(at(2_000)));
+    relay.watched(List.of(written(511)), 511, at(2_100));
+    assertEquals(relay.age(at(2_100)), Duration.ZERO);
+    assertFalse(relay.readsOn(at(2_100)));
+  }
+
+  /** An answer that was older than the view of the relay counted as a confirmation. */
+  @Test
+  public void answerBehindTheRelayDoesNotConfirmTheView() {
+    StoreFollower follower = follower(ORDER.get(1));
+    assertEquals(
+        follower.receive(ORDER.get(0), heartbeat(2_000, Duration.ZERO, true), at(1_900)),
+        new RelayReaction.Request(10));
+    List<StoreChange> part =
+        LongStream.range(11, 511).mapToObj(StoreFollowerTest::written).toList();
+    follower.watched(part, 510, at(2_000));
+    assertEquals(follower.age(at(2_000)), Duration.ofMillis(2_000));
+    assertFalse(follower.readsOn(at(2_000)), "the zone has the changes");
+    assertTrue(follower.readsOn(at(3_000)), "the zone does not send them");
+  }
+
+  /** Each request adds an answer to a link that may be slow already. */
+  @Test
+  public void requestsWithoutAnAnswerBecomeRarer() {
+    StoreFollower follower = follower(ORDER.get(1));
+    List<Long> requests =
+        LongStream.range(0, 60)
+            .map(step -> step * 100)
+            .filter(
+                milliseconds ->
+                    follower.receive(
+                            ORDER.get(0), heartbeat(2_000, Duration.ZERO, true), at(milliseconds))
+                        instanceof RelayReaction.Request)
+            .boxed()
+            .toList();
+    assertEquals(requests, List.of(0L, 300L, 900L, 2_100L, 3_300L, 4_500L, 5_700L));
+  }
+
+  private static StoreItem item(String key, int valueBytes, long revision) {
+    return new StoreItem(key, new byte[valueBytes], revision);
+  }
+
   private static StoreFollower follower(String name) {
     StoreFollower follower = new StoreFollower(name, ZONE, TIMING);
     follower.setZoneMembers(MEMBERS);
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/FleetFactsTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/FleetFactsTest.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.corianderweir.logic.platform.DecodedItem;
 import org.corianderweir.logic.platform.StoreSchema;
 import org.corianderweir.model.store.StoreChange;
@@ -119,6 +120,50 @@
     assertEquals(facts.view(NOW).servers().keySet(), Set.of("server-1", "server-2"));
   }
 
+  /**
+   * A listing that began before a snapshot and arrives after it must bring back neither an item
+   * that this instance knew nor one that was written and removed meanwhile.
+   */
+  @Test
+  public void anItemMissingFromASnapshotDoesNotComeBackWithAnOlderListing() {
+    write("server-1", "1", 10);
+    write("server-2", "1", 11);
+    facts.replaceAll(List.of(item("server-2", "1", 11)), 30, NOW);
+    facts.replaceAll(
+        List.of(
+            item("server-1", "1", 10),
+            item("server-2", "1", 11),
+            item("server-3", "1", 20),
+            item("server-4", "1", 31)),
+        12,
+        NOW);
+    assertEquals(facts.view(NOW).servers().keySet(), Set.of("server-2", "server-4"));
+  }
+
+  /** A snapshot holds what is in the store: no retained item, and each with its newest value. */
+  @Test
+  public void storedItemsAreThoseOfTheStore() {
+    write("server-1", "1", 10);
+    write("server-2", "200", 11);
+    write("evacuate/a", "north-a", 12);
+    write("other", "x", 13);
+    write("server-2", "100", 14);
+    facts.storeRecovered(NOW);
+    facts.apply(List.of(new StoreChange.Removed("server-1", 15)), NOW);
+    assertEquals(facts.view(NOW).servers().keySet(), Set.of("server-1", "server-2"));
+    Set<String> stored =
+        facts.storedItems().stream()
+            .map(
+                item ->
+                    "%s %s %d"
+                        .formatted(
+                            item.key(),
+                            new String(item.value(), StandardCharsets.UTF_8),
+                            item.revision()))
+            .collect(Collectors.toSet());
+    assertEquals(stored, Set.of("server-2 100 14", "evacuate/a north-a 12"));
+  }
+
   @Test
   public void itemsMissingFromAListingAreRemoved() {
     write("server-1", "1", 10);
--- a/weirlib/src/test/java/org/corianderweir/protocol/PeerMessageCodecTest.java
+++ b/weirlib/src/test/java/org/corianderweir/protocol/PeerMessageCodecTest.java
@@ -19,11 +19,13 @@
 import org.corianderweir.logic.limits.slots.SlotMessage;
 import org.corianderweir.logic.membership.Member;
 import org.corianderweir.logic.membership.ZoneSample;
+import org.corianderweir.logic.relay.StoreSnapshotPart;
 import org.corianderweir.logic.relay.StoreUpdate;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
 import org.corianderweir.model.configuration.ConfigurationHead;
 import org.corianderweir.model.store.StoreChange;
+import org.corianderweir.model.store.StoreItem;
 import org.corianderweir.model.timeline.HybridTimestamp;
 import org.corianderweir.model.topology.EntryInstance;
 import org.corianderweir.model.topology.InstanceState;
@@ -70,6 +72,8 @@
         new StoreRelayMessage.Update(
             new StoreUpdate(41, 41, List.of(), Duration.ZERO, false, Optional.empty()))
       },
+      {new StoreRelayMessage.Snapshot(snapshotPart("", Optional.of("servers/b"), List.of()))},
+      {new StoreRelayMessage.Snapshot(snapshotPart("servers/b", Optional.empty(), List.of()))},
       {new DemandMessage.RegionDemand("lagos", 6, Map.of("club", 9.0, "guild", 0.25))},
       {new DemandMessage.FleetDemand(Map.of("club", 1.5), 18, Map.of("club", 20.5))},
       {
@@ -113,6 +117,46 @@
     assertEquals(PeerMessageCodec.decode(PeerMessageCodec.encode(message)), message);
   }
 
+  @Test
+  public void snapshotKeepsItsItems() {
+    PeerMessage message =
+        new StoreRelayMessage.Snapshot(
+            snapshotPart("a", Optional.of("c"), List.of(item("b"), item("c"))));
+    byte[] encoded = PeerMessageCodec.encode(message);
+    assertEquals(PeerMessageCodec.encode(PeerMessageCodec.decode(encoded)), encoded);
+  }
+
+  @DataProvider
+  public Object[][] invalidSnapshots() {
+    return new Object[][] {
+      {snapshotPart("a", Optional.of("c"), List.of(item("c"), item("b")))},
+      {snapshotPart("a", Optional.of("c"), List.of(item("a")))},
+      {snapshotPart("a", Optional.of("c"), List.of(item("d")))},
+      {snapshotPart("b", Optional.of("a"), List.of())},
+      {snapshotPart("b", Optional.of("b"), List.of())}
+    };
+  }
+
+  /** Items outside their range, or a range that ends before it begins, would hide other items. */
+  @Test(dataProvider = "invalidSnapshots")
+  public void refusesSnapshotsWithoutAnOrder(StoreSnapshotPart part) {
+    byte[] encoded = PeerMessageCodec.encode(new StoreRelayMessage.Snapshot(part));
+    assertThrows(WeirException.class, () -> PeerMessageCodec.decode(encoded));
+  }
+
+  private static StoreSnapshotPart snapshotPart(
+      String afterKey, Optional<String> throughKey, List<StoreItem> items) {
+    return new StoreSnapshotPart(
+        new StoreUpdate(41, 41, List.of(), Duration.ZERO, true, Optional.empty()),
+        afterKey,
+        throughKey,
+        items);
+  }
+
+  private static StoreItem item(String key) {
+    return new StoreItem(key, new byte[] {1, 2}, 40);
+  }
+
   @Test(dataProvider = "messages")
   public void rejectsTruncatedMessages(PeerMessage message) {
     byte[] encoded = PeerMessageCodec.encode(message);
