--- /dev/null
+++ b/weirlib/src/test/java/org/corianderweir/logic/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of admission, with a discrete-event simulation of servers, instances and callers. */
+package org.corianderweir.logic.admission;
