--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -50,7 +50,7 @@
 "$JAVA_HOME/bin/java" -jar target/weirbench/weirbench-0.1.0-SNAPSHOT-all.jar training --store-port 27584 \
   >/dev/null 2>&1 &
 platform=$!
-daemon=(target/runtime/bin/java -Xlog:disable -Xmx96m -XX:+UseSerialGC -XX:TieredStopAtLevel=1)
+daemon=(target/runtime/bin/java -Xlog:disable -Xmx96m -Xmn8m -XX:+UseSerialGC -XX:TieredStopAtLevel=1)
 program=(-jar target/corianderweird.jar --platform --settings)
 sleep 1
 "${daemon[@]}" "${program[@]}" target/archive-peer.ini >/dev/null 2>&1 &
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.corianderweir.model.Durations;
 import org.corianderweir.model.traffic.CallerOrganisation;
 import org.corianderweir.model.traffic.FleetMember;
 import org.corianderweir.model.traffic.InstanceLocation;
@@ -36,6 +35,7 @@
   private FleetBounds bounds;
   private final ServerPool servers;
   private final ServerSearch search;
+  private final CapacityGate capacity;
   private final RouteLatencyAverages latencyAverages = new RouteLatencyAverages();
   private final SmoothWeightedRoundRobin serviceRotation = new SmoothWeightedRoundRobin();
   private final Map<String, RetryBudgetShare> retryBudgets = new HashMap<>();
@@ -51,12 +51,14 @@
     this.bounds = bounds;
     servers = new ServerPool(self, location);
     search = new ServerSearch(self.region(), servers);
+    capacity = new CapacityGate(self.name());
   }
 
   /** Applies a new view of the fleet. */
   public synchronized void apply(FleetView update, long nowNanoseconds) {
     view = update;
     servers.apply(update, nowNanoseconds);
+    capacity.apply(update);
     int memberCount = Math.max(1, update.members().size());
     if (memberCount >= instanceCount
         || nowNanoseconds - instanceCountNanoseconds > INSTANCE_COUNT_RETENTION.toNanos()) {
@@ -116,7 +118,7 @@
       RequestAttributes attributes, RouteMatch.Found match, long bodyBytes, long nowNanoseconds) {
     TrafficRoute route = match.route();
     Optional<CallerOrganisation> organisation = match.organisation();
-    long deadlineNanoseconds = nowNanoseconds + timeToDeadline(attributes, route);
+    long deadlineNanoseconds = nowNanoseconds + attributes.nanosecondsToDeadline(route);
     if (isStoppingBefore(deadlineNanoseconds, nowNanoseconds)) {
       return new Admission.Rejected(RejectionReason.STOPPING, OTHER_INSTANCE_RETRY_AFTER);
     }
@@ -173,6 +175,10 @@
     if (chosen.isEmpty()) {
       return giveUpWithoutServer(request, nowNanoseconds);
     }
+    Optional<NextStep> held = capacity.hold(request, chosen.get(), nowNanoseconds);
+    if (held.isPresent()) {
+      return held.get();
+    }
     ServerState server = chosen.get().server();
     request.recordSend(server.registration().identifier(), chosen.get().rank());
     server.recordSend(request.bodyBytes(), nowNanoseconds);
@@ -215,6 +221,7 @@
       long sentNanoseconds,
       long nowNanoseconds) {
     server.recordEnd(request.bodyBytes());
+    capacity.recordOutcome(request, server, outcome, sentNanoseconds, nowNanoseconds);
     return switch (outcome) {
       case SendOutcome.Withheld unused -> {
         request.recordNotRun(false);
@@ -329,17 +336,6 @@
         && !plannedStop.get().admits(deadlineNanoseconds, nowNanoseconds);
   }
 
-  /** Returns the time until a request that arrives now must have its answer, in nanoseconds. */
-  private static long timeToDeadline(RequestAttributes attributes, TrafficRoute route) {
-    long timeout = Durations.toBoundedNanoseconds(route.timeout());
-    long asked =
-        attributes.deadlineMilliseconds().stream()
-            .map(wanted -> Durations.toBoundedNanoseconds(Duration.ofMillis(wanted)))
-            .findFirst()
-            .orElse(timeout);
-    return Math.min(timeout, asked) - attributes.queueTime().toNanos();
-  }
-
   private static NextStep deliver() {
     return new NextStep.Deliver();
   }
--- a/weirlib/src/main/java/org/corianderweir/model/traffic/RequestKind.java
+++ b/weirlib/src/main/java/org/corianderweir/model/traffic/RequestKind.java
@@ -55,6 +55,17 @@
     };
   }
 
+  /** Returns whether requests or responses are large, so that requests differ much in cost. */
+  default boolean isLarge() {
+    return switch (this) {
+      case Upload unused -> true;
+      case Download unused -> true;
+      case Safe unused -> false;
+      case Unsafe unused -> false;
+      case Unknown unused -> false;
+    };
+  }
+
   /** Returns the word of the configuration, for the log. */
   default String label() {
     return switch (this) {
--- a/weirlib/src/main/java/org/corianderweir/model/traffic/TrafficConfiguration.java
+++ b/weirlib/src/main/java/org/corianderweir/model/traffic/TrafficConfiguration.java
@@ -24,4 +24,9 @@
     services = Map.copyOf(services);
     organisations = List.copyOf(organisations);
   }
+
+  /** Returns whether a route has requests or responses that are large. */
+  public boolean hasLargeRequests() {
+    return routes.stream().anyMatch(route -> route.kind().isLarge());
+  }
 }
