--- a/weirbench/src/main/java/org/corianderweir/bench/steering/SteeringBenchmark.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/steering/SteeringBenchmark.java
@@ -4,6 +4,11 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import org.corianderweir.logic.admission.AdmissionRequest;
+import org.corianderweir.logic.admission.AdmissionResult;
+import org.corianderweir.logic.admission.Candidate;
+import org.corianderweir.logic.admission.CapacityAdmission;
+import org.corianderweir.logic.admission.WorkKind;
 import org.corianderweir.logic.steering.CellConditionEvaluator;
 import org.corianderweir.logic.steering.SteeringDecision;
 import org.corianderweir.logic.steering.SteeringTable;
@@ -27,8 +32,8 @@
 import org.openjdk.jmh.annotations.Warmup;
 
 /**
- * Measures the time and allocation of steering a request, of a step of the selectors' weights, and
- * of applying a revision of the configuration.
+ * Measures the time and allocation of steering a request, of a step of the selectors' weights, of
+ * applying a revision of the configuration, and of admitting a request under shortage.
  */
 @State(Scope.Benchmark)
 @BenchmarkMode(Mode.AverageTime)
@@ -42,6 +47,12 @@
   private static final int SLOTS_PER_SERVER = 9;
   private static final int CONNECTION_LIMIT = 660;
   private static final int FIRST_PORT = 1_000;
+  private static final int ORGANISATION_COUNT = 75;
+  private static final int PRIORITY_COUNT = 3;
+  private static final int LOAD = 7;
+  private static final int SLOTS = 3;
+  private static final long MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
+  private static final WorkKind KIND = new WorkKind("lookup", "region", true);
   private static final CellConditionEvaluator.ServerView READY =
       server -> new CellConditionEvaluator.ServerCondition(true, true, true, 0.5);
 
@@ -53,6 +64,8 @@
   private final SteeringTracker tracker = new SteeringTracker("region-0", 0);
   private Configuration configuration = Configuration.EMPTY;
   private SteeringTable table = SteeringTable.EMPTY;
+  private final CapacityAdmission admission = new CapacityAdmission();
+  private final List<AdmissionRequest> requests = new ArrayList<>();
   private long nowNanoseconds;
 
   /** Creates the configuration and the steering table. */
@@ -83,6 +96,16 @@
             .build();
     tracker.applyConfiguration(configuration, 0);
     table = tracker.step(READY, 0, 0);
+    for (int index = 0; index < ORGANISATION_COUNT; index++) {
+      requests.add(
+          AdmissionRequest.builder()
+              .organisation("organisation " + index)
+              .priority(index % PRIORITY_COUNT)
+              .target(433 * MILLISECOND, 433 * MILLISECOND)
+              .deadlineLeft(2_707 * MILLISECOND)
+              .mayWait(true)
+              .build());
+    }
   }
 
   private static BackendServer server(String zone, int number) {
@@ -112,6 +135,20 @@
     return tracker.step(READY, nowNanoseconds, nowNanoseconds);
   }
 
+  /** Measures one decision under shortage, with what a report and an answer need. */
+  @Benchmark
+  public AdmissionResult admit() {
+    nowNanoseconds += 80 * MILLISECOND;
+    Candidate candidate = new Candidate(LOAD, SLOTS, 1, 1, admission.work(KIND, nowNanoseconds));
+    AdmissionRequest request = requests.get(random.nextInt(ORGANISATION_COUNT));
+    AdmissionResult result =
+        admission.decide("lookup/region", request, candidate, random, nowNanoseconds);
+    admission.recordReport("lookup/region", LOAD, SLOTS, nowNanoseconds);
+    admission.recordAnswer(
+        "lookup/region", KIND, candidate, 433 * MILLISECOND, 900 * MILLISECOND, nowNanoseconds);
+    return result;
+  }
+
   /** Measures applying a revision of the configuration. */
   @Benchmark
   public void adopt() {
--- a/weirlib/src/main/java/org/corianderweir/logic/admission/CapacityAdmission.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/admission/CapacityAdmission.java
@@ -36,7 +36,7 @@
   private static final long SHORTEST_RETURN_NANOSECONDS = 20_000_000;
 
   /** Weight of a measurement of work that began behind other requests. */
-  private static final double WAITED_WORK_WEIGHT = 0.05;
+  private static final double WAITED_WORK_WEIGHT = 0.2;
 
   private final Map<String, Pool> pools = new HashMap<>();
   private final WorkAverages works = new WorkAverages();
