--- a/weirdaemon/src/test/java/org/corianderweir/daemon/entry/ForwardedRequestTest.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/entry/ForwardedRequestTest.java
@@ -31,12 +31,14 @@
 import org.corianderweir.logic.traffic.PlannedStop;
 import org.corianderweir.logic.traffic.RequestAttributes;
 import org.corianderweir.logic.traffic.SendOutcome;
+import org.corianderweir.logic.traffic.ServerLoad;
 import org.corianderweir.logic.traffic.TrafficDirector;
 import org.corianderweir.logic.traffic.TrafficIndex;
 import org.corianderweir.model.traffic.CallerLimits;
 import org.corianderweir.model.traffic.CallerOrganisation;
 import org.corianderweir.model.traffic.FleetMember;
 import org.corianderweir.model.traffic.InstanceLocation;
+import org.corianderweir.model.traffic.RequestKind;
 import org.corianderweir.model.traffic.ServerRegistration;
 import org.corianderweir.model.traffic.TrafficConfiguration;
 import org.corianderweir.model.traffic.TrafficRoute;
@@ -212,7 +214,11 @@
       AdmittedRequest request, NextStep.Send send, OptionalLong load, Duration latency) {
     SendOutcome answer =
         new SendOutcome.Answered(
-            true, false, new SendOutcome.ServerReport(load, OptionalLong.empty()));
+            true,
+            false,
+            new SendOutcome.ServerReport(
+                ServerLoad.of(load, OptionalLong.of(0), OptionalLong.empty(), OptionalLong.empty()),
+                OptionalLong.empty()));
     director.sendEnded(request, send.server(), answer, now - latency.toNanos(), now);
   }
 
@@ -240,7 +246,7 @@
             "desk",
             "rota.example",
             "/desk/",
-            true,
+            RequestKind.SAFE,
             Duration.ofSeconds(4),
             Duration.ofSeconds(1),
             0,
