Entry instances of a zone share what servers report

Cause: an instance hears from one server only every few seconds, while load and speed stay valid for about half a second. Change: four times a second each instance sends what it has heard to the collector of its zone and gets what the others have heard. Ages count from the sending of the message that is answered. A report counts only for the registered start of its server, and the own requests in flight at its time are part of it. Found on the way: with the load weighed down to zero, a server without a report counted as idle and all instances chose it. Where reports are shared, the part of an old report falls to the average of the service in the region instead. No load was played against running daemons yet. Not built: groups within zones of more than 18 instances; the collector's traffic is above the bound of CONTRIBUTING.md.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
@@ -21,6 +21,7 @@
 import org.corianderweir.platform.HttpMetadataStore;
 import org.corianderweir.platform.PlatformHeaders;
 import org.corianderweir.platform.PlatformSchema;
+import org.corianderweir.protocol.ServerReportMessage;
 
 /** Creates, starts and stops the services of an entry instance. */
 public final class EntryInstanceServices {
@@ -50,6 +51,7 @@
   private final TimeSource time;
   private final Kernel kernel = new Kernel();
   private Optional<DemandExchange> demandExchange = Optional.empty();
+  private Optional<ReportExchange> reportExchange = Optional.empty();
   private Optional<StoreRelay> storeRelay = Optional.empty();
   private boolean secretRequested;
   private boolean registered;
@@ -154,6 +156,7 @@
       connectToPeers(view.peerSecret().get());
     }
     demandExchange.ifPresent(running -> running.apply(view));
+    reportExchange.ifPresent(running -> running.apply(view));
     storeRelay.ifPresent(running -> running.apply(view));
     if (!registered && view.index().isPresent()) {
       registered = true;
@@ -175,6 +178,15 @@
     DemandExchange exchange = new DemandExchange(self, director, transport, controlExecutor, time);
     exchange.start();
     demandExchange = Optional.of(exchange);
+    ReportExchange reports =
+        new ReportExchange(self, director, transport::send, events, metrics, time);
+    transport.onMessage(
+        ServerReportMessage.class,
+        received ->
+            controlExecutor.execute(
+                () -> reports.receive(received.sender().name(), received.message())));
+    controlExecutor.scheduleWithFixedDelay(ReportExchange.INTERVAL, reports::exchange);
+    reportExchange = Optional.of(reports);
     StoreRelay relay = new StoreRelay(self, transport, controlExecutor, storeWatcher);
     storeWatcher.connect(relay);
     storeRelay = Optional.of(relay);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ForwardedRequest.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ForwardedRequest.java
@@ -149,6 +149,7 @@
   private void send(NextStep.Send send) {
     ServerState server = send.server();
     long sentNanoseconds = time.monotonicNanoseconds();
+    log.chosen(server, sentNanoseconds);
     HttpAddress address =
         new HttpAddress(server.registration().host(), server.registration().port());
     HttpRequest forwarded =
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
@@ -85,6 +85,14 @@
                 rejected.rateLimit().map(RequestLog::describe).orElse("")));
   }
 
+  /** Counts how old the report was by which a server was chosen. */
+  void chosen(ServerState server, long nowNanoseconds) {
+    server
+        .reportAge(nowNanoseconds)
+        .ifPresentOrElse(
+            age -> metrics.timer("reports.age").update(age), () -> count("reports.none"));
+  }
+
   void sendEnded(
       AdmittedRequest request,
       ServerState server,
--- a/weirlib/src/main/java/org/corianderweir/coordination/FleetNode.java
+++ b/weirlib/src/main/java/org/corianderweir/coordination/FleetNode.java
@@ -34,6 +34,7 @@
 import org.corianderweir.protocol.MembershipMessage;
 import org.corianderweir.protocol.MembershipMessage.AgedRevision;
 import org.corianderweir.protocol.PeerMessage;
+import org.corianderweir.protocol.ServerReportMessage;
 import org.corianderweir.protocol.StoreRelayMessage;
 
 /**
@@ -176,6 +177,9 @@
       case DemandMessage demand -> {
         // Demand is shared only by instances that follow the platform's store.
       }
+      case ServerReportMessage report -> {
+        // Reports of servers are shared only by instances that forward requests to them.
+      }
       case StoreRelayMessage relay -> {
         // The store is relayed only by instances that follow the platform's store.
       }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerLoad.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerLoad.java
@@ -4,8 +4,7 @@
 import java.util.OptionalLong;
 
 /**
- * The load that a server reports with a response. A figure that is out of range is left out, the
- * others still count.
+ * The load that a server reports with a response. Each figure counts by itself.
  *
  * @param running number of requests that the server runs, without the answered one
  * @param waiting number of requests that wait at the server
@@ -26,7 +25,15 @@
   /** No machine that still answers within a deadline is a hundred times slower than usual. */
   private static final int LARGEST_SPEED_PERCENT = 10_000;
 
-  /** Creates a report from figures as they were read. */
+  /** Refuses figures out of range. */
+  public ServerLoad {
+    requireInRange(running, 0, LARGEST_COUNT);
+    requireInRange(waiting, 0, LARGEST_COUNT);
+    requireInRange(slots, 1, LARGEST_COUNT);
+    requireInRange(speedPercent, 1, LARGEST_SPEED_PERCENT);
+  }
+
+  /** Creates a report from figures as they were read. Those out of range are left out. */
   public static ServerLoad of(
       OptionalLong running, OptionalLong waiting, OptionalLong slots, OptionalLong speedPercent) {
     return new ServerLoad(
@@ -43,6 +50,12 @@
         : OptionalInt.empty();
   }
 
+  private static void requireInRange(OptionalInt figure, int smallest, int largest) {
+    if (figure.isPresent() && (figure.getAsInt() < smallest || figure.getAsInt() > largest)) {
+      throw new IllegalArgumentException("figure of a load out of range");
+    }
+  }
+
   private static OptionalInt inRange(OptionalLong figure, long smallest, long largest) {
     return figure.isPresent() && figure.getAsLong() >= smallest && figure.getAsLong() <= largest
         ? OptionalInt.of((int) figure.getAsLong())
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
@@ -6,6 +6,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import java.util.Map;
 import org.corianderweir.model.traffic.FleetMember;
 import org.corianderweir.model.traffic.InstanceLocation;
@@ -39,6 +40,7 @@
 
   private final Map<String, Placement> placements = new HashMap<>();
   private final Map<String, Integer> coldServerOwnerCounts = new HashMap<>();
+  private final ReportOutbox outbox = new ReportOutbox();
   private FleetView view = FleetView.EMPTY;
 
   ServerPool(FleetMember self, InstanceLocation location) {
@@ -64,6 +66,7 @@
         state.update(registration, nowNanoseconds);
       }
     }
+    outbox.retain(this::contains);
     placements.clear();
     coldServerOwnerCounts.clear();
   }
@@ -91,7 +94,12 @@
     if (!report.pause().isZero()) {
       server.recordPause(report.pause(), returnDelay(server, report.pause()), nowNanoseconds);
     }
-    server.recordLoad(report.load(), nowNanoseconds);
+    if (!report.load().equals(ServerLoad.NONE)) {
+      server.recordLoad(report.load(), nowNanoseconds);
+      if (contains(server)) {
+        outbox.add(server, report.load(), nowNanoseconds);
+      }
+    }
     report
         .coldMilliseconds()
         .ifPresent(
@@ -107,6 +115,60 @@
     return Duration.ofNanos(Math.round(position * longest.toNanos()));
   }
 
+  /** Returns the reports that this instance has heard since the last call and shares. */
+  List<SharedServerReport> takeReports(long nowNanoseconds) {
+    return outbox.take(servers.size(), nowNanoseconds);
+  }
+
+  /**
+   * Applies reports that other instances have heard. A report of a server that is not registered,
+   * or of another start of it, is left out.
+   *
+   * @param sinceNanoseconds time from which their ages count
+   * @return number of reports that tell something newer
+   */
+  int applyReports(List<SharedServerReport> reports, long sinceNanoseconds) {
+    int newerCount = 0;
+    for (SharedServerReport report : reports) {
+      ServerState server = servers.get(report.server());
+      if (server != null
+          && server.registration().startedMilliseconds() == report.startedMilliseconds()
+          && server.recordLoad(report.load(), report.heardNanoseconds(sinceNanoseconds))) {
+        newerCount++;
+      }
+    }
+    if (!reports.isEmpty()) {
+      updateAverages(sinceNanoseconds);
+    }
+    return newerCount;
+  }
+
+  private void updateAverages(long nowNanoseconds) {
+    Map<ServerGroup, LongSummaryStatistics> requests = new HashMap<>();
+    for (ServerState server : servers.values()) {
+      server
+          .requestsOfOtherInstances(nowNanoseconds)
+          .ifPresent(
+              count ->
+                  requests
+                      .computeIfAbsent(group(server), unused -> new LongSummaryStatistics())
+                      .accept(count));
+    }
+    for (ServerState server : servers.values()) {
+      LongSummaryStatistics known = requests.get(group(server));
+      if (known != null) {
+        server.recordAverageRequests(known.getAverage(), nowNanoseconds);
+      }
+    }
+  }
+
+  /** Servers that have about the same load: those of one service in one region. */
+  private record ServerGroup(String service, String region) {}
+
+  private static ServerGroup group(ServerState server) {
+    return new ServerGroup(server.registration().service(), server.region());
+  }
+
   /** Returns whether the object stands for a server that is registered now. */
   boolean contains(ServerState server) {
     return servers.get(server.registration().identifier()) == server;
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerState.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerState.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.corianderweir.model.Durations;
 import org.corianderweir.model.traffic.ServerRegistration;
@@ -15,7 +16,9 @@
    * Time in which the weight of a load report decreases to zero. Requests take about as long, so an
    * older report says nothing about the present load.
    */
-  private static final long REPORT_LIFETIME_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(1_000);
+  static final Duration REPORT_LIFETIME = Duration.ofSeconds(1);
+
+  private static final long REPORT_LIFETIME_NANOSECONDS = REPORT_LIFETIME.toNanos();
 
   /**
    * Time in which the weight of a reported speed decreases to zero. The speed of a machine changes
@@ -64,12 +67,14 @@
 
   private ServerRegistration registration;
   private final String region;
-  private int inFlight;
+  private final InFlightHistory history = new InFlightHistory();
   private long bodyBytesInProgress;
   private int largeBodyCount;
   private long noResponseSinceNanoseconds;
   private int requestsOfOtherInstances;
   private long reportedNanoseconds;
+  private double averageRequests;
+  private long averageNanoseconds;
   private double speedRatio = 1;
   private long speedNanoseconds;
   private double failureRatio;
@@ -122,33 +127,49 @@
   void recordSend(long bodyBytes, long nowNanoseconds) {
     bodyBytesInProgress += bodyBytes;
     largeBodyCount += isLargeBody(bodyBytes) ? 1 : 0;
-    if (inFlight == 0) {
+    if (inFlight() == 0) {
       noResponseSinceNanoseconds = nowNanoseconds;
     }
-    inFlight++;
+    history.add(1, nowNanoseconds);
     if (isCold(nowNanoseconds)) {
       coldRequests.add(nowNanoseconds);
     }
   }
 
   /** Records that a send of a request with a body of the given length has ended. */
-  void recordEnd(long bodyBytes) {
+  void recordEnd(long bodyBytes, long nowNanoseconds) {
     bodyBytesInProgress -= bodyBytes;
     largeBodyCount -= isLargeBody(bodyBytes) ? 1 : 0;
-    inFlight--;
+    history.add(-1, nowNanoseconds);
   }
 
-  /** Records the load that the server reported, without the answered request. */
-  void recordLoad(ServerLoad load, long nowNanoseconds) {
-    if (load.requests().isPresent()) {
-      requestsOfOtherInstances = Math.max(0, load.requests().getAsInt() - inFlight);
-      reportedNanoseconds = nowNanoseconds;
+  /**
+   * Records the load that the server reported, to this instance or to another one, without the
+   * answered request. This instance's requests in flight at that time are part of it. An older
+   * report does not replace a newer one.
+   *
+   * @param heardNanoseconds time at which the report was heard
+   * @return whether a figure of the report is the newest one
+   */
+  boolean recordLoad(ServerLoad load, long heardNanoseconds) {
+    boolean newerLoad = load.requests().isPresent() && heardNanoseconds - reportedNanoseconds >= 0;
+    if (newerLoad) {
+      requestsOfOtherInstances =
+          Math.max(0, load.requests().getAsInt() - history.inFlightAt(heardNanoseconds));
+      reportedNanoseconds = heardNanoseconds;
     }
-    if (load.speedPercent().isPresent()) {
+    boolean newerSpeed =
+        load.speedPercent().isPresent() && heardNanoseconds - speedNanoseconds >= 0;
+    if (newerSpeed) {
       double reported = (double) load.speedPercent().getAsInt() / USUAL_SPEED_PERCENT;
       speedRatio = Math.max(SMALLEST_SPEED_RATIO, reported);
-      speedNanoseconds = nowNanoseconds;
+      speedNanoseconds = heardNanoseconds;
     }
+    return newerLoad || newerSpeed;
+  }
+
+  private int inFlight() {
+    return history.inFlight();
   }
 
   /** Records how much longer the server reports to be cold. */
@@ -218,7 +239,7 @@
       return true;
     }
     double elapsedRatio = 1 - (double) left / RETURN_PERIOD.toNanos();
-    return inFlight < 1 + elapsedRatio * registration.slots();
+    return inFlight() < 1 + elapsedRatio * registration.slots();
   }
 
   /** Records that the server responded. */
@@ -228,7 +249,7 @@
 
   /** Returns whether the server has requests in flight but has not responded for a long time. */
   boolean isUnresponsive(long nowNanoseconds) {
-    return inFlight > 0
+    return inFlight() > 0
         && nowNanoseconds - noResponseSinceNanoseconds > UNRESPONSIVE_THRESHOLD_NANOSECONDS;
   }
 
@@ -269,11 +290,15 @@
     return coldRequests.count(nowNanoseconds);
   }
 
-  /** Returns the estimated number of requests on the server, including other instances'. */
+  /**
+   * Returns the estimated number of requests on the server, including other instances'. The part of
+   * the last report decreases with its age, in favour of the average of the service if reports are
+   * shared.
+   */
   public double load(long nowNanoseconds) {
-    double age = nowNanoseconds - reportedNanoseconds;
-    double weight = Math.max(0, 1 - age / REPORT_LIFETIME_NANOSECONDS);
-    return inFlight + requestsOfOtherInstances * weight;
+    double weight = reportWeight(reportedNanoseconds, nowNanoseconds);
+    double average = averageRequests * reportWeight(averageNanoseconds, nowNanoseconds);
+    return inFlight() + requestsOfOtherInstances * weight + average * (1 - weight);
   }
 
   /**
@@ -317,6 +342,28 @@
     return largeBodyCount;
   }
 
+  /**
+   * Records how many requests of other instances the servers of the same service and region have on
+   * average. Where reports are shared, a server without a recent one is assumed to be like them; if
+   * it counted as idle, all instances would choose it.
+   */
+  void recordAverageRequests(double requests, long nowNanoseconds) {
+    averageRequests = requests;
+    averageNanoseconds = nowNanoseconds;
+  }
+
+  /** Returns the requests of other instances in the last report, if it still has weight. */
+  OptionalInt requestsOfOtherInstances(long nowNanoseconds) {
+    return reportWeight(reportedNanoseconds, nowNanoseconds) > 0
+        ? OptionalInt.of(requestsOfOtherInstances)
+        : OptionalInt.empty();
+  }
+
+  private static double reportWeight(long heardNanoseconds, long nowNanoseconds) {
+    double age = nowNanoseconds - heardNanoseconds;
+    return Math.max(0, 1 - age / REPORT_LIFETIME_NANOSECONDS);
+  }
+
   /** Returns the ratio of recent requests that failed. */
   public double failureRatio(long nowNanoseconds) {
     return failureRatio * decayFactor(nowNanoseconds);
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -202,6 +202,20 @@
     return servers.bodyBytesInProgress();
   }
 
+  /** Returns the reports that this instance has heard since the last call and shares. */
+  public synchronized List<SharedServerReport> takeReports(long nowNanoseconds) {
+    return servers.takeReports(nowNanoseconds);
+  }
+
+  /**
+   * Applies reports that other instances have heard; returns how many tell something newer.
+   *
+   * @param sinceNanoseconds time from which their ages count
+   */
+  public synchronized int applyReports(List<SharedServerReport> reports, long sinceNanoseconds) {
+    return servers.applyReports(reports, sinceNanoseconds);
+  }
+
   /** Records the outcome of a send and decides what to do next. */
   public synchronized NextStep sendEnded(
       AdmittedRequest request,
@@ -209,7 +223,7 @@
       SendOutcome outcome,
       long sentNanoseconds,
       long nowNanoseconds) {
-    server.recordEnd(request.bodyBytes());
+    server.recordEnd(request.bodyBytes(), nowNanoseconds);
     return switch (outcome) {
       case SendOutcome.Withheld unused -> {
         request.recordNotRun(false);
--- a/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
+++ b/weirlib/src/main/java/org/corianderweir/model/timeline/EventCode.java
@@ -50,6 +50,8 @@
   PEER_HANDSHAKE_REFUSED(3004, Severity.WARNING, "Peer handshake refused"),
   /** The control thread did not run for a while, because the process was paused or lacked CPU. */
   CONTROL_PAUSED(3005, Severity.WARNING, "Control thread was paused"),
+  /** The instance that collects what servers report in the zone was chosen, lost or found. */
+  REPORT_COLLECTOR_CHANGED(3006, Severity.INFO, "Collector of server reports changed"),
   /** A request was refused by this entry instance. */
   REQUEST_REFUSED(4001, Severity.DEBUG, "Request refused"),
   /** A request was sent to a backend server. */
--- a/weirlib/src/main/java/org/corianderweir/protocol/PeerMessage.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/PeerMessage.java
@@ -6,4 +6,5 @@
         ConfigurationMessage,
         LimitMessage,
         DemandMessage,
+        ServerReportMessage,
         StoreRelayMessage {}
--- a/weirlib/src/main/java/org/corianderweir/protocol/PeerMessageCodec.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/PeerMessageCodec.java
@@ -26,6 +26,7 @@
             ConfigurationMessageCodec.pack(packer, configuration);
         case LimitMessage limit -> LimitMessageCodec.pack(packer, limit);
         case DemandMessage demand -> DemandMessageCodec.pack(packer, demand);
+        case ServerReportMessage report -> ServerReportMessageCodec.pack(packer, report);
         case StoreRelayMessage relay -> StoreRelayMessageCodec.pack(packer, relay);
       }
       return packer.toByteArray();
@@ -64,6 +65,10 @@
     if (demand.isPresent()) {
       return demand.get();
     }
+    Optional<PeerMessage> report = ServerReportMessageCodec.unpack(type, unpacker);
+    if (report.isPresent()) {
+      return report.get();
+    }
     Optional<PeerMessage> relay = StoreRelayMessageCodec.unpack(type, unpacker);
     if (relay.isPresent()) {
       return relay.get();
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/ServerSearchTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/ServerSearchTest.java
@@ -94,7 +94,7 @@
     ServerState own = alone.server();
     own.recordSend(200 * 1024, NOW);
     assertFalse(send(director, "upload", "1", LARGE).server().equals(own));
-    own.recordEnd(200 * 1024);
+    own.recordEnd(200 * 1024, NOW);
     assertEquals(send(director, "upload", "1", LARGE).server(), own);
   }
 
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/ServerStateTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/ServerStateTest.java
@@ -1,6 +1,7 @@
 package org.corianderweir.logic.traffic;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
@@ -95,6 +96,58 @@
     assertEquals(chosen.orElseThrow().server().registration().identifier(), expected, name);
   }
 
+  @DataProvider
+  public Object[][] sharedReports() {
+    return new Object[][] {
+      // Three requests of this instance are in flight at 0 ms, one ends at 100, one is sent at 200.
+      {"of now", 8, 0, 3 + 5.0},
+      {"before a send: two own requests are part of it", 8, 150, 3 + 6 * 0.85},
+      {"before an end: three own requests are part of it", 8, 250, 3 + 5 * 0.75},
+      {"fewer than the own requests", 1, 0, 3.0},
+      {"without weight", 8, 1_000, 3.0}
+    };
+  }
+
+  /** Own requests would count twice, or those of others not at all. */
+  @Test(dataProvider = "sharedReports")
+  public void ownRequestsAtTheTimeOfSharedReportArePartOfIt(
+      String name, int reported, long age, double expected) {
+    ServerState server = server();
+    for (int number = 0; number < 3; number++) {
+      server.recordSend(0, NOW);
+    }
+    server.recordEnd(0, NOW + 100 * MILLISECOND);
+    server.recordSend(0, NOW + 200 * MILLISECOND);
+    long now = NOW + 300 * MILLISECOND;
+    server.recordLoad(load(reported, OptionalLong.empty()), now - age * MILLISECOND);
+    assertEquals(server.load(now), expected, 1e-9, name);
+  }
+
+  /** A server without a recent report counted as idle, and all instances chose it. */
+  @Test
+  public void serverWithoutRecentReportIsLikeTheOthersWhereReportsAreShared() {
+    ServerState server = server();
+    server.recordSend(0, NOW);
+    assertEquals(server.load(NOW), 1, 1e-9, "nothing is shared");
+    server.recordAverageRequests(4, NOW);
+    assertEquals(server.load(NOW), 1 + 4, 1e-9);
+    server.recordLoad(load(1, OptionalLong.empty()), NOW);
+    assertEquals(server.load(NOW), 1, 1e-9, "a new report counts alone");
+    long later = NOW + 250 * MILLISECOND;
+    assertEquals(server.load(later), 1 + 4 * 0.75 * 0.25, 1e-9);
+    assertEquals(server.load(NOW + 1_000 * MILLISECOND), 1, 1e-9, "the average has its age, too");
+  }
+
+  /** A report of another instance that is older than the last own one would replace it. */
+  @Test
+  public void olderReportChangesNothing() {
+    ServerState server = server();
+    assertTrue(server.recordLoad(load(5, OptionalLong.of(250)), NOW + 100 * MILLISECOND));
+    assertFalse(server.recordLoad(load(0, OptionalLong.of(100)), NOW + 99 * MILLISECOND));
+    assertEquals(server.load(NOW + 100 * MILLISECOND), 5, 1e-9);
+    assertEquals(server.speedRatio(NOW + 100 * MILLISECOND), 2.5, 1e-9);
+  }
+
   private static ServerLoad load(long requests, OptionalLong speedPercent) {
     return ServerLoad.of(
         OptionalLong.of(requests), OptionalLong.of(0), OptionalLong.of(3), speedPercent);
--- a/weirlib/src/test/java/org/corianderweir/protocol/PeerMessageCodecTest.java
+++ b/weirlib/src/test/java/org/corianderweir/protocol/PeerMessageCodecTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import org.corianderweir.logic.limits.Allowance;
 import org.corianderweir.logic.limits.LendableSlice;
@@ -20,6 +21,8 @@
 import org.corianderweir.logic.membership.Member;
 import org.corianderweir.logic.membership.ZoneSample;
 import org.corianderweir.logic.relay.StoreUpdate;
+import org.corianderweir.logic.traffic.ServerLoad;
+import org.corianderweir.logic.traffic.SharedServerReport;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
 import org.corianderweir.model.configuration.ConfigurationHead;
@@ -43,6 +46,24 @@
   private static final CellView VIEW =
       new CellView(9, CellRegister.free(3).with(List.of(1), Optional.of(HOLDER)));
 
+  private static final List<SharedServerReport> REPORTS =
+      List.of(
+          new SharedServerReport(
+              "i-cf66cb1087",
+              1_780_000_000_000L,
+              ServerLoad.of(
+                  OptionalLong.of(3), OptionalLong.of(9), OptionalLong.of(3), OptionalLong.of(250)),
+              480),
+          new SharedServerReport(
+              "i-e0",
+              -1,
+              ServerLoad.of(
+                  OptionalLong.of(0),
+                  OptionalLong.of(1_000_000),
+                  OptionalLong.empty(),
+                  OptionalLong.empty()),
+              0));
+
   private static LimitMessage loan(LoanMessage message) {
     return new LimitMessage.Loan(message);
   }
@@ -70,6 +91,9 @@
         new StoreRelayMessage.Update(
             new StoreUpdate(41, 41, List.of(), Duration.ZERO, false, Optional.empty()))
       },
+      {new ServerReportMessage.Heard(7, REPORTS)},
+      {new ServerReportMessage.Digest(7, REPORTS)},
+      {new ServerReportMessage.Digest(1L << 40, List.of())},
       {new DemandMessage.RegionDemand("lagos", 6, Map.of("club", 9.0, "guild", 0.25))},
       {new DemandMessage.FleetDemand(Map.of("club", 1.5), 18, Map.of("club", 20.5))},
       {
