--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
@@ -34,11 +34,8 @@
 final class EntryService {
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
 
-  /**
-   * Servers close idle connections after some seconds and announce this idle timeout only in whole
-   * seconds.
-   */
-  private static final Duration CONNECTION_IDLE_LIFETIME = Duration.ofSeconds(4);
+  /** For connections to servers that do not announce when they close an idle one. */
+  private static final Duration CONNECTION_IDLE_LIFETIME = Duration.ofSeconds(3);
 
   private static final int RESPONSE_LIMIT_BYTES = 8 * 1024 * 1024;
 
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ForwardedRequest.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ForwardedRequest.java
@@ -27,9 +27,6 @@
    */
   private static final Duration NON_IDEMPOTENT_IDLE_LIMIT = Duration.ofMillis(700);
 
-  /** Longer, because an idempotent request is sent again if its answer is lost. */
-  private static final Duration IDEMPOTENT_IDLE_LIMIT = Duration.ofMillis(3_000);
-
   private final HttpRequest callerRequest;
   private final CallerConnection caller;
   private final AdmittedRequest request;
@@ -189,11 +186,17 @@
         new HttpAddress(server.registration().host(), server.registration().port());
     HttpRequest forwarded =
         messages.forServer(callerRequest, request, server.registration(), send.timeout());
-    Duration idleLimit =
-        request.route().idempotent() ? IDEMPOTENT_IDLE_LIMIT : NON_IDEMPOTENT_IDLE_LIMIT;
     Attempt attempt = new Attempt(server);
+    // An idempotent request is sent again if the server has closed its connection meanwhile.
     CompletableFuture<HttpResponse> pending =
-        client.exchange(address, forwarded, send.timeout(), idleLimit, () -> beginWrite(attempt));
+        request.route().idempotent()
+            ? client.exchange(address, forwarded, send.timeout(), () -> beginWrite(attempt))
+            : client.exchange(
+                address,
+                forwarded,
+                send.timeout(),
+                NON_IDEMPOTENT_IDLE_LIMIT,
+                () -> beginWrite(attempt));
     synchronized (this) {
       exchange = pending;
       if (abandoned) {
--- a/weirdaemon/src/test/java/org/corianderweir/daemon/entry/PipelinedForwardingTest.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/entry/PipelinedForwardingTest.java
@@ -29,6 +29,7 @@
 import org.corianderweir.http.HttpListenerOptions;
 import org.corianderweir.http.HttpRequest;
 import org.corianderweir.http.HttpResponse;
+import org.corianderweir.kernel.ControlExecutor;
 import org.corianderweir.logic.traffic.FleetBounds;
 import org.corianderweir.logic.traffic.FleetView;
 import org.corianderweir.logic.traffic.TrafficDirector;
@@ -36,6 +37,7 @@
 import org.corianderweir.model.traffic.CallerLimits;
 import org.corianderweir.model.traffic.FleetMember;
 import org.corianderweir.model.traffic.InstanceLocation;
+import org.corianderweir.model.traffic.RequestKind;
 import org.corianderweir.model.traffic.ServerRegistration;
 import org.corianderweir.model.traffic.ServiceSettings;
 import org.corianderweir.model.traffic.TrafficConfiguration;
@@ -76,6 +78,7 @@
             settings,
             director,
             PlatformHeaders.NAMES,
+            new WaitingRequests(new ControlExecutor(unused -> {})),
             new RequestLog(new EventLog("entry-1", time), new MetricRegistry()),
             time);
     entry.apply(view(server.port(), settings.member(1)));
@@ -182,7 +185,7 @@
         name,
         "rota.example",
         "/" + name + "/",
-        idempotent,
+        idempotent ? RequestKind.SAFE : RequestKind.UNSAFE,
         Duration.ofSeconds(10),
         Duration.ofMillis(600),
         1,
--- a/weirhttp/src/main/java/org/corianderweir/http/ConnectionPool.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ConnectionPool.java
@@ -12,15 +12,23 @@
  */
 final class ConnectionPool {
   private final int connectionLimit;
-  private final Duration idleTimeout;
   private final ArrayDeque<IdleConnection> idleConnections = new ArrayDeque<>();
   private int reservedCount;
 
-  private record IdleConnection(Connection<?> connection, long sinceNanoseconds) {}
+  /**
+   * A connection without an exchange.
+   *
+   * @param lifetime time for which it may be idle and still be used
+   */
+  private record IdleConnection(
+      Connection<?> connection, long sinceNanoseconds, Duration lifetime) {
+    boolean isUsable(long nowNanoseconds) {
+      return connection.isOpen() && nowNanoseconds - sinceNanoseconds < lifetime.toNanos();
+    }
+  }
 
-  ConnectionPool(int connectionLimit, Duration idleTimeout) {
+  ConnectionPool(int connectionLimit) {
     this.connectionLimit = connectionLimit;
-    this.idleTimeout = idleTimeout;
   }
 
   /**
@@ -38,8 +46,7 @@
   private Optional<Connection<?>> takeIdle(long nowNanoseconds) {
     IdleConnection candidate = idleConnections.pollLast();
     while (candidate != null) {
-      long idleNanoseconds = nowNanoseconds - candidate.sinceNanoseconds();
-      if (candidate.connection().isOpen() && idleNanoseconds < idleTimeout.toNanos()) {
+      if (candidate.isUsable(nowNanoseconds)) {
         return Optional.of(candidate.connection());
       }
       candidate.connection().closeSilently();
@@ -62,9 +69,9 @@
     reservedCount--;
   }
 
-  /** Returns a connection to the pool for the next exchange. */
-  synchronized void release(Connection<?> connection, long nowNanoseconds) {
-    idleConnections.addLast(new IdleConnection(connection, nowNanoseconds));
+  /** Returns a connection to the pool for an exchange that begins within its idle lifetime. */
+  synchronized void release(Connection<?> connection, Duration lifetime, long nowNanoseconds) {
+    idleConnections.addLast(new IdleConnection(connection, nowNanoseconds, lifetime));
   }
 
   /** Returns whether no connection is idle and another one may be opened in advance. */
@@ -72,16 +79,15 @@
     return idleConnections.isEmpty() && reservedCount < connectionLimit;
   }
 
-  /** Closes the connections that have been idle for the idle timeout or longer. */
+  /** Closes the connections that have been idle for their lifetime or longer. */
   synchronized void closeExpired(long nowNanoseconds) {
-    Iterator<IdleConnection> oldestFirst = idleConnections.iterator();
-    while (oldestFirst.hasNext()) {
-      IdleConnection candidate = oldestFirst.next();
-      if (nowNanoseconds - candidate.sinceNanoseconds() < idleTimeout.toNanos()) {
-        return;
+    Iterator<IdleConnection> candidates = idleConnections.iterator();
+    while (candidates.hasNext()) {
+      IdleConnection candidate = candidates.next();
+      if (!candidate.isUsable(nowNanoseconds)) {
+        candidates.remove();
+        candidate.connection().closeSilently();
       }
-      oldestFirst.remove();
-      candidate.connection().closeSilently();
     }
   }
 
--- a/weirhttp/src/main/java/org/corianderweir/http/ExchangeFilter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ExchangeFilter.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.function.BiConsumer;
 import org.corianderweir.model.ErrorCode;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -29,14 +28,24 @@
   private static final int FIRST_FINAL_STATUS = 200;
 
   private final HttpClientOptions options;
-  private final BiConsumer<HttpAddress, Connection<?>> release;
+  private final Release release;
+
+  /** Returns a connection to the pool of its address. */
+  interface Release {
+    /**
+     * Returns a reusable connection.
+     *
+     * @param response the latest response on the connection
+     */
+    void release(HttpAddress address, Connection<?> connection, HttpResponse response);
+  }
 
   /**
    * Creates the filter.
    *
    * @param release returns a reusable connection to the pool of its address
    */
-  ExchangeFilter(HttpClientOptions options, BiConsumer<HttpAddress, Connection<?>> release) {
+  ExchangeFilter(HttpClientOptions options, Release release) {
     this.options = options;
     this.release = release;
   }
@@ -143,13 +152,14 @@
    */
   private void finish(
       FilterChainContext context, PendingResponse pending, HttpResponsePacket head) {
-    boolean reusable = complete(pending, head);
-    context.addCompletionListener(unused -> giveBack(context.getConnection(), pending, reusable));
+    Optional<HttpResponse> last = complete(pending, head);
+    context.addCompletionListener(unused -> giveBack(context.getConnection(), pending, last));
   }
 
-  private void giveBack(Connection<?> connection, PendingResponse pending, boolean reusable) {
-    if (reusable && connection.isOpen()) {
-      release.accept(pending.exchange().address(), connection);
+  private void giveBack(
+      Connection<?> connection, PendingResponse pending, Optional<HttpResponse> last) {
+    if (last.isPresent() && connection.isOpen()) {
+      release.release(pending.exchange().address(), connection, last.get());
     } else {
       connection.closeSilently();
     }
@@ -157,21 +167,23 @@
 
   /**
    * Completes an exchange if the response is whole and its own, and has come before the exchange
-   * ended otherwise; returns whether its connection may be used again.
+   * ended otherwise; returns the response if its connection may be used again.
    */
-  private boolean complete(PendingResponse pending, HttpResponsePacket head) {
+  private Optional<HttpResponse> complete(PendingResponse pending, HttpResponsePacket head) {
     Optional<byte[]> body = pending.takeBody();
     if (body.isEmpty()) {
       failLost(pending, "there is no memory for the response body");
-      return false;
+      return Optional.empty();
     }
     HttpResponse response = toHttpResponse(head, body.get());
     if (!matchesRequest(response, pending.exchange())) {
       failLost(pending, "the response belongs to another request");
-      return false;
+      return Optional.empty();
     }
     pending.endOwnLease();
-    return pending.exchange().complete(response) && head.getProcessingState().isKeepAlive();
+    boolean reusable =
+        pending.exchange().complete(response) && head.getProcessingState().isKeepAlive();
+    return reusable ? Optional.of(response) : Optional.empty();
   }
 
   private boolean matchesRequest(HttpResponse response, HttpExchange exchange) {
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
@@ -40,6 +40,8 @@
  * request is refused.
  */
 public final class HttpClient {
+  private static final Duration UNLIMITED = Duration.ofNanos(Long.MAX_VALUE);
+
   /** Header field in which a server may name the request that it responds to. */
   public static final String REQUEST_IDENTIFIER_HEADER = "Weir-Request";
 
@@ -106,7 +108,7 @@
    */
   public CompletableFuture<HttpResponse> exchange(
       HttpAddress address, HttpRequest request, Duration timeout) {
-    return exchange(address, request, timeout, options.idleTimeout());
+    return exchange(address, request, timeout, () -> true);
   }
 
   /**
@@ -122,7 +124,7 @@
   /** Sends a request that must be wanted when it is written, over any idle connection. */
   public CompletableFuture<HttpResponse> exchange(
       HttpAddress address, HttpRequest request, Duration timeout, BooleanSupplier stillWanted) {
-    return exchange(address, request, timeout, options.idleTimeout(), stillWanted);
+    return exchange(address, request, timeout, UNLIMITED, stillWanted);
   }
 
   /**
@@ -166,7 +168,7 @@
           new EmptyCompletionHandler<Connection>() {
             @Override
             public void completed(Connection connection) {
-              pool.release(connection, System.nanoTime());
+              pool.release(connection, options.idleTimeout(), System.nanoTime());
             }
           });
     }
@@ -185,12 +187,13 @@
 
   private ConnectionPool pool(HttpAddress address) {
     return pools.computeIfAbsent(
-        address,
-        unused -> new ConnectionPool(options.connectionsPerAddress(), options.idleTimeout()));
+        address, unused -> new ConnectionPool(options.connectionsPerAddress()));
   }
 
-  private void release(HttpAddress address, Connection<?> connection) {
-    pool(address).release(connection, System.nanoTime());
+  private void release(HttpAddress address, Connection<?> connection, HttpResponse response) {
+    Duration lifetime =
+        KeepAliveField.idleLifetime(response.headers()).orElse(options.idleTimeout());
+    pool(address).release(connection, lifetime, System.nanoTime());
   }
 
   private void closeExpiredConnections() {
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/CapacityGate.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/CapacityGate.java
@@ -37,7 +37,7 @@
     Candidate candidate = candidate(request, chosen.server(), chosen.rank(), nowNanoseconds);
     AdmissionResult result =
         admission.decide(
-            pool(request, chosen.server()),
+            pool(chosen.server()),
             describe(request, nowNanoseconds),
             candidate,
             random,
@@ -63,30 +63,24 @@
       return;
     }
     if (outcome instanceof SendOutcome.NotRun notRun) {
-      recordReport(request, server, notRun.report(), nowNanoseconds);
+      recordReport(server, notRun.report().load(), nowNanoseconds);
     } else if (outcome instanceof SendOutcome.Answered answer) {
-      recordReport(request, server, answer.report(), nowNanoseconds);
+      recordReport(server, answer.report().load(), nowNanoseconds);
       if (!answer.serverError()) {
         recordAnswer(request, server, nowNanoseconds - sentNanoseconds, nowNanoseconds);
       }
     }
   }
 
-  private void recordReport(
-      AdmittedRequest request,
-      ServerState server,
-      SendOutcome.ServerReport report,
-      long nowNanoseconds) {
-    report
-        .load()
-        .requests()
-        .ifPresent(
-            requests ->
-                admission.recordReport(
-                    pool(request, server),
-                    requests,
-                    server.registration().slots(),
-                    nowNanoseconds));
+  /** Records the load that a server reported to this instance or to another one of the zone. */
+  void recordReport(ServerState server, ServerLoad load, long nowNanoseconds) {
+    if (active) {
+      load.requests()
+          .ifPresent(
+              requests ->
+                  admission.recordReport(
+                      pool(server), requests, server.registration().slots(), nowNanoseconds));
+    }
   }
 
   private void recordAnswer(
@@ -94,7 +88,7 @@
     Optional<Candidate> candidate = request.candidate();
     if (candidate.isPresent()) {
       admission.recordAnswer(
-          pool(request, server),
+          pool(server),
           workKind(request, server, request.rank()),
           candidate.get(),
           request.route().targetLatency().toNanos(),
@@ -126,8 +120,8 @@
   }
 
   /** Returns the name of the servers whose shortage is measured together. */
-  private static String pool(AdmittedRequest request, ServerState server) {
-    return request.service() + '/' + server.region();
+  private static String pool(ServerState server) {
+    return server.registration().service() + '/' + server.region();
   }
 
   private static WorkKind workKind(AdmittedRequest request, ServerState server, int rank) {
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.LongSummaryStatistics;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import org.corianderweir.model.traffic.FleetMember;
 import org.corianderweir.model.traffic.InstanceLocation;
 import org.corianderweir.model.traffic.ServerRegistration;
@@ -127,9 +128,13 @@
    * or of another start of it, is left out.
    *
    * @param sinceNanoseconds time from which their ages count
-   * @return number of reports that tell something newer
+   * @param listener gets each report that tells something newer
+   * @return number of these reports
    */
-  int applyReports(List<SharedServerReport> reports, long sinceNanoseconds) {
+  int applyReports(
+      List<SharedServerReport> reports,
+      long sinceNanoseconds,
+      BiConsumer<ServerState, ServerLoad> listener) {
     int newerCount = 0;
     for (SharedServerReport report : reports) {
       ServerState server = servers.get(report.server());
@@ -137,6 +142,7 @@
           && server.registration().startedMilliseconds() == report.startedMilliseconds()
           && server.recordLoad(report.load(), report.heardNanoseconds(sinceNanoseconds))) {
         newerCount++;
+        listener.accept(server, report.load());
       }
     }
     if (!reports.isEmpty()) {
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -224,7 +224,10 @@
    * @param sinceNanoseconds time from which their ages count
    */
   public synchronized int applyReports(List<SharedServerReport> reports, long sinceNanoseconds) {
-    return servers.applyReports(reports, sinceNanoseconds);
+    return servers.applyReports(
+        reports,
+        sinceNanoseconds,
+        (server, load) -> capacity.recordReport(server, load, sinceNanoseconds));
   }
 
   /** Records the outcome of a send and decides what to do next. */
