Zones of more than 24 instances have several collectors of server reports

Cause: with 68 instances in a zone (2,700 in 40 zones) one collector would send 495 kB/s, 4 Mbit/s of the 7 to 10 that an instance has. Change: ReportCollector.choose divides a larger zone into equal groups of at most 24 by the hash of names. Up to 24 instances nothing changes. By the arithmetic of docs/design/server-reports.md a collector then sends at most 163 kB/s.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ReportExchange.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ReportExchange.java
@@ -65,7 +65,7 @@
     }
     zonePeers = peers;
     collector.retainInstances(peers.keySet());
-    Optional<FleetMember> chosen = ReportCollector.choose(view.members(), self.zone());
+    Optional<FleetMember> chosen = ReportCollector.choose(view.members(), self);
     if (!chosen.map(FleetMember::name).equals(zoneCollector.map(FleetMember::name))) {
       lost = false;
       record(chosen, "chosen");
--- a/weirdaemon/src/test/java/org/corianderweir/daemon/entry/ReportExchangeTest.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/entry/ReportExchangeTest.java
@@ -73,7 +73,7 @@
       instances.put(member.name(), new Instance(member));
     }
     instances.values().forEach(instance -> instance.apply(members, SERVER));
-    String chosen = ReportCollector.choose(members, "north-a").orElseThrow().name();
+    String chosen = ReportCollector.choose(members, members.getFirst()).orElseThrow().name();
     collector = instances.get(chosen);
     List<Instance> others =
         members.stream()
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ReportCollector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ReportCollector.java
@@ -1,12 +1,14 @@
 package org.corianderweir.logic.traffic;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.corianderweir.model.traffic.FleetMember;
 
 /**
@@ -21,6 +23,12 @@
   /** Gives a zone another collector than its region has for the demand of organisations. */
   private static final String ZONE_HASH_PREFIX = "reports/";
 
+  /**
+   * A collector sends to each member of its group up to 8 KB/s. Larger zones are divided, so that
+   * no instance sends more than 170 KB/s (23 members, identifiers of 12 characters).
+   */
+  private static final int GROUP_LIMIT = 24;
+
   /** In the order in which the reports arrived. */
   private final LinkedHashMap<Start, Entry> newest = new LinkedHashMap<>();
 
@@ -35,16 +43,16 @@
   private record Entry(String source, ServerLoad load, long heardNanoseconds, long sequence) {}
 
   /**
-   * Returns the instance that collects the reports of a zone. Instances with the same list of
-   * members choose the same one.
+   * Returns the instance that collects the reports of an instance's group in its zone. Instances of
+   * a group with the same list of members choose the same one.
    */
-  public static Optional<FleetMember> choose(List<FleetMember> members, String zone) {
+  public static Optional<FleetMember> choose(List<FleetMember> members, FleetMember self) {
     Optional<FleetMember> best = Optional.empty();
     double bestScore = Double.MAX_VALUE;
-    long zoneHash = Hashing.hash(ZONE_HASH_PREFIX + zone);
-    for (FleetMember member : members) {
+    long zoneHash = Hashing.hash(ZONE_HASH_PREFIX + self.zone());
+    for (FleetMember member : group(members, self)) {
       double score = Hashing.uniform(Hashing.hash(member.name()), zoneHash);
-      if (member.zone().equals(zone) && score < bestScore) {
+      if (score < bestScore) {
         bestScore = score;
         best = Optional.of(member);
       }
@@ -52,6 +60,30 @@
     return best;
   }
 
+  /**
+   * Returns the members of an instance's group: an equal part of its zone, by the hash of names.
+   */
+  private static List<FleetMember> group(List<FleetMember> members, FleetMember self) {
+    long ownHash = Hashing.hash(self.name());
+    List<FleetMember> zone =
+        members.stream()
+            .filter(member -> member.zone().equals(self.zone()))
+            .sorted(Comparator.comparingLong(member -> Hashing.hash(member.name())))
+            .toList();
+    int size = zone.size();
+    int groupCount = (size + GROUP_LIMIT - 1) / GROUP_LIMIT;
+    if (groupCount <= 1) {
+      return zone;
+    }
+    int lowerCount =
+        (int) zone.stream().filter(member -> Hashing.hash(member.name()) < ownHash).count();
+    int group = Math.min(lowerCount, size - 1) * groupCount / size;
+    return IntStream.range(0, size)
+        .filter(position -> position * groupCount / size == group)
+        .mapToObj(zone::get)
+        .toList();
+  }
+
   /** Adds the reports that an instance has heard. An older report does not replace a newer one. */
   public void merge(String source, List<SharedServerReport> reports, long nowNanoseconds) {
     removeExpired(nowNanoseconds);
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/ReportCollectorTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/ReportCollectorTest.java
@@ -6,14 +6,15 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
-import java.util.Set;
 import org.corianderweir.model.traffic.FleetMember;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests of {@link ReportCollector}. */
@@ -81,25 +82,52 @@
     assertEquals(collector.takeFor("b", NOW), List.of());
   }
 
+  @DataProvider
+  public Object[][] zoneSizes() {
+    return new Object[][] {{1, 1}, {18, 1}, {24, 1}, {25, 2}, {68, 3}, {700, 30}};
+  }
+
   /** Instances with different collectors would not hear of each other. */
-  @Test
-  public void allOrdersOfMembersGiveTheSameCollectorOfTheZone() {
+  @Test(dataProvider = "zoneSizes")
+  public void allInstancesOfGroupChooseTheSameCollector(int size, int collectorCount) {
     List<FleetMember> members = new ArrayList<>();
-    for (int number = 0; number < 18; number++) {
+    for (int number = 0; number < size; number++) {
       members.add(TrafficFixture.member("entry-" + number, "north-a", "north"));
       members.add(TrafficFixture.member("other-" + number, "north-b", "north"));
     }
-    Set<Optional<FleetMember>> chosen = new HashSet<>();
-    for (int seed = 0; seed < 20; seed++) {
-      Collections.shuffle(members, new Random(seed));
-      chosen.add(ReportCollector.choose(members, "north-a"));
+    List<FleetMember> zone =
+        members.stream().filter(member -> member.zone().equals("north-a")).toList();
+    Map<FleetMember, Integer> groupSizes = new HashMap<>();
+    for (FleetMember member : zone) {
+      Collections.shuffle(members, new Random(groupSizes.size()));
+      groupSizes.merge(ReportCollector.choose(members, member).orElseThrow(), 1, Integer::sum);
+    }
+    assertEquals(groupSizes.size(), collectorCount);
+    assertTrue(zone.containsAll(groupSizes.keySet()), "no message crosses zones");
+    assertTrue(Collections.max(groupSizes.values()) <= 24, "" + groupSizes);
+    groupSizes
+        .keySet()
+        .forEach(
+            collecting ->
+                assertEquals(
+                    ReportCollector.choose(members, collecting).orElseThrow(), collecting));
+  }
+
+  /** When the collector is gone, another one is chosen; one that is not registered yet has one. */
+  @Test
+  public void collectorIsOneOfThePresentMembers() {
+    List<FleetMember> members = new ArrayList<>();
+    for (int number = 0; number < 40; number++) {
+      members.add(TrafficFixture.member("entry-" + number, "north-a", "north"));
+    }
+    FleetMember self = members.getFirst();
+    while (members.size() > 1) {
+      FleetMember collecting = ReportCollector.choose(members, self).orElseThrow();
+      assertTrue(members.remove(collecting), "" + collecting);
     }
-    assertEquals(chosen.size(), 1);
-    FleetMember collecting = chosen.iterator().next().orElseThrow();
-    assertEquals(collecting.zone(), "north-a");
-    members.remove(collecting);
-    assertTrue(ReportCollector.choose(members, "north-a").isPresent(), "the next one");
-    assertEquals(ReportCollector.choose(members, "south-a"), Optional.empty());
+    assertEquals(ReportCollector.choose(List.of(), self), Optional.empty());
+    FleetMember elsewhere = TrafficFixture.member("entry-0", "south-a", "south");
+    assertEquals(ReportCollector.choose(members, elsewhere), Optional.empty());
   }
 
   private static SharedServerReport report(String server, long start, int speed, int age) {
