Callers are directed to instances by their processor capacity

Cause: machines of a fleet differ (0.21 to 1.5 cores), callers pick an address of a look-up at random, and each instance was named once. In bursts the small ones answered a refusal after 50 to 120 ms in their queue.

Where all are equal, each is named once as before.

--- a/weirbench/src/test/java/org/corianderweir/bench/metadata/EntryInstanceFixture.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/metadata/EntryInstanceFixture.java
@@ -65,6 +65,7 @@
         Duration.ofSeconds(4),
         Duration.ofMillis(1_500),
         1_000,
+        1,
         new FleetBounds(0.2, 1_000, Duration.ofSeconds(10), 0.1, 20, Duration.ofSeconds(5)));
   }
 
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
@@ -76,7 +76,7 @@
     events.record(
         EventCode.REQUEST_REFUSED,
         sanitize(attributes.identifier()),
-        "reason=%s status=%d host=%s path=%s revision=%d wait=%d%s"
+        "reason=%s status=%d host=%s path=%s revision=%d queued=%d wait=%d%s"
             .formatted(
                 rejected.reason(),
                 status,
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettingDeclarations.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettingDeclarations.java
@@ -97,6 +97,21 @@
           new SettingType.WholeNumber(FILE_DESCRIPTOR_LIMIT_MINIMUM, Integer.MAX_VALUE),
           "sockets and files that the process may open");
 
+  private static final Setting<Double> PROCESSOR_SHARE =
+      Setting.optional(
+          "limits",
+          "processor-share",
+          new SettingType.Decimal(0.01, 1),
+          "1",
+          "share of each processor core that the process gets");
+  private static final Setting<Integer> PROCESSOR_CORES =
+      Setting.optional(
+          "limits",
+          "processor-cores",
+          new SettingType.WholeNumber(1, 1_000),
+          "1",
+          "processor cores of the machine; callers are directed to instances by share times cores");
+
   private EntrySettingDeclarations() {}
 
   /** Returns all declarations in the order of docs/SETTINGS.md. */
@@ -115,6 +130,8 @@
         STORE_ADDRESS,
         HEARTBEAT_INTERVAL,
         FILE_DESCRIPTOR_LIMIT,
+        PROCESSOR_SHARE,
+        PROCESSOR_CORES,
         STOP_TIMEOUT,
         RETRY_RATIO,
         RETRY_MARGIN,
@@ -145,6 +162,7 @@
         file.value(STOP_TIMEOUT),
         file.value(HEARTBEAT_INTERVAL),
         file.value(FILE_DESCRIPTOR_LIMIT),
+        file.value(PROCESSOR_SHARE) * file.value(PROCESSOR_CORES),
         new FleetBounds(
             file.value(RETRY_RATIO),
             file.value(RETRY_MARGIN),
--- a/weirdaemon/src/test/java/org/corianderweir/daemon/entry/PipelinedForwardingTest.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/entry/PipelinedForwardingTest.java
@@ -171,6 +171,7 @@
         Duration.ofSeconds(3),
         Duration.ofSeconds(1),
         1_000,
+        1,
         new FleetBounds(0.2, 20, Duration.ofSeconds(10), 0.1, 20, Duration.ofSeconds(5)));
   }
 
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -297,8 +297,9 @@
   }
 
   /**
-   * Returns the entry instances that callers in a region should use: those of the region, or all if
-   * it has none. Returns only this instance if none is left.
+   * Returns the entry instances that callers in a region should use, of which they pick one at
+   * random: those of the region, or all if it has none, weighted by {@link MemberWeights}. Returns
+   * only this instance if none is left.
    *
    * @param stopping whether this instance is shutting down and is left out
    */
@@ -310,7 +311,7 @@
         eligible.stream()
             .filter(member -> !stopping || !member.name().equals(self.name()))
             .toList();
-    return remaining.isEmpty() ? List.of(self) : remaining;
+    return remaining.isEmpty() ? List.of(self) : MemberWeights.weigh(remaining, self);
   }
 
   /** Returns the demand on this instance by organisation, in requests per second. */
--- a/weirlib/src/main/java/org/corianderweir/model/traffic/FleetMember.java
+++ b/weirlib/src/main/java/org/corianderweir/model/traffic/FleetMember.java
@@ -10,6 +10,7 @@
  * @param zone availability zone
  * @param region region of the availability zone
  * @param incarnation wall-clock time of its start, in milliseconds since the epoch
+ * @param capacity processor capacity of its machine in cores
  */
 public record FleetMember(
     String name,
@@ -18,7 +19,34 @@
     int peerPort,
     String zone,
     String region,
-    long incarnation) {
+    long incarnation,
+    double capacity) {
+  /** Capacity of a member that does not say its own. */
+  public static final double DEFAULT_CAPACITY = 1;
+
+  private static final double SMALLEST_CAPACITY = 0.01;
+  private static final double LARGEST_CAPACITY = 1_000;
+
+  /** Bounds the capacity; one that is not a number counts as the default. */
+  public FleetMember {
+    capacity =
+        Double.isNaN(capacity)
+            ? DEFAULT_CAPACITY
+            : Math.clamp(capacity, SMALLEST_CAPACITY, LARGEST_CAPACITY);
+  }
+
+  /** Creates a member with the default capacity. */
+  public FleetMember(
+      String name,
+      String host,
+      int callerPort,
+      int peerPort,
+      String zone,
+      String region,
+      long incarnation) {
+    this(name, host, callerPort, peerPort, zone, region, incarnation, DEFAULT_CAPACITY);
+  }
+
   /** Returns the address for requests of callers as {@code host:port}. */
   public String callerAddress() {
     return host + ":" + callerPort;
