Unfinished requests occupy bounded memory, connections and time

Cause, from heap dumps of the tests before the change: 22 to 33 MB of a heap of 48 MB were arrays of 64 KiB that the fields of request heads kept alive (352 to 524 arrays, referrer ByteChunk.buff). The transport divides such an array among reads, and the codec refers to it from each field of a head until the request has its response. So each request, also a finished one, could hold 64 KiB that no budget counts. Further: refused chunked bodies stayed in memory while their rest was read, look-ups and readiness had 16 MiB for bodies each, and look-ups, readiness and metrics each had as many connections as requests.

Change: UnfinishedRequestFilter below the codec holds a head or a chunk line until it is complete, in one counted array, and passes heads on in arrays of their size. Reads take at most 16 KiB, and shared arrays have 4 KiB. Budgets for unfinished heads (4% of the heap for requests, 0.5% for each other port), for connections with an unfinished request (half), and a time limit for heads (headerTimeoutMs). At a limit, the connection that holds most, the oldest unfinished or the longest idle is closed. Bodies that stopped are closed while the memory of bodies is short. DescriptorPlan divides the descriptors among the ports.

--- a/weirbench/src/test/java/org/corianderweir/bench/metadata/EntryInstanceFixture.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/metadata/EntryInstanceFixture.java
@@ -12,6 +12,7 @@
 import org.corianderweir.daemon.SystemTimeSource;
 import org.corianderweir.daemon.entry.EntryInstanceServices;
 import org.corianderweir.daemon.settings.EntrySettings;
+import org.corianderweir.daemon.settings.UnfinishedLimitSettings;
 import org.corianderweir.http.HttpAddress;
 import org.corianderweir.http.HttpClient;
 import org.corianderweir.http.HttpClientOptions;
@@ -65,6 +66,7 @@
         Duration.ofSeconds(4),
         Duration.ofMillis(1_500),
         1_000,
+        UnfinishedLimitSettings.DEFAULT,
         new FleetBounds(0.2, 1_000, Duration.ofSeconds(10), 0.1, 20, Duration.ofSeconds(5)));
   }
 
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/MemoryPlan.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/MemoryPlan.java
@@ -16,6 +16,11 @@
   private static final double SMALL_RESPONSES_RATIO = 0.05;
   private static final double LARGE_RESPONSES_RATIO = 0.18;
 
+  /** Look-ups, readiness checks and requests for metrics need no body. */
+  private static final double CONTROL_BODIES_RATIO = 0.005;
+
+  private static final double CONTROL_UNFINISHED_RATIO = 0.005;
+
   /** Plans for a heap of a size, in bytes. */
   public static MemoryPlan forHeap(long heapBytes) {
     return new MemoryPlan(
@@ -26,6 +31,17 @@
             (long) (LARGE_RESPONSES_RATIO * heapBytes)));
   }
 
+  /** Returns the memory of the request bodies of a listener for control. */
+  public static BodyMemory controlBodies(long heapBytes) {
+    long bytes = (long) (CONTROL_BODIES_RATIO / 2 * heapBytes);
+    return new BodyMemory(bytes, bytes);
+  }
+
+  /** Returns the memory of the unfinished heads of a listener for control. */
+  public static long controlUnfinishedBytes(long heapBytes) {
+    return (long) (CONTROL_UNFINISHED_RATIO * heapBytes);
+  }
+
   /** Returns the size of the largest request body for which there can be memory, in bytes. */
   public int requestLimitBytes() {
     return (int) Math.min(Integer.MAX_VALUE, requests.large().limitBytes());
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
@@ -4,9 +4,11 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.corianderweir.daemon.DescriptorPlan;
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.daemon.peer.PeerTransport;
 import org.corianderweir.daemon.settings.EntrySettings;
+import org.corianderweir.http.HttpAddress;
 import org.corianderweir.http.HttpClient;
 import org.corianderweir.http.HttpClientOptions;
 import org.corianderweir.kernel.ControlExecutor;
@@ -51,6 +53,7 @@
   private final Kernel kernel = new Kernel();
   private Optional<DemandExchange> demandExchange = Optional.empty();
   private Optional<StoreRelay> storeRelay = Optional.empty();
+  private final int handshakeLimit;
   private boolean secretRequested;
   private boolean registered;
 
@@ -94,10 +97,22 @@
               () ->
                   director.conditionCounts(time.monotonicNanoseconds()).getOrDefault(condition, 0));
     }
-    metricsEndpoint = new MetricsEndpoint(self.host(), settings.metricsPort(), metrics);
+    DescriptorPlan descriptors = DescriptorPlan.forLimit(settings.fileDescriptorLimit());
+    handshakeLimit = descriptors.handshakes();
+    metricsEndpoint =
+        new MetricsEndpoint(
+            EntryService.controlOptions(
+                "metrics",
+                new HttpAddress(self.host(), settings.metricsPort()),
+                descriptors.metrics(),
+                settings),
+            metrics);
     entryService =
         new EntryService(
             settings, director, PlatformHeaders.NAMES, new RequestLog(events, metrics), time);
+    entryService
+        .listeners()
+        .forEach(listener -> metricsEndpoint.exportLimits(listener.name(), listener));
   }
 
   /** Starts all services. */
@@ -164,6 +179,7 @@
             events,
             metrics,
             time);
+    transport.setHandshakeLimit(handshakeLimit);
     kernel.register(EventLog.NAME, events).register(PeerTransport.NAME, transport);
     kernel.start();
     DemandExchange exchange = new DemandExchange(self, director, transport, controlExecutor, time);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
@@ -7,8 +7,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import org.corianderweir.daemon.DescriptorPlan;
 import org.corianderweir.daemon.MemoryPlan;
 import org.corianderweir.daemon.settings.EntrySettings;
+import org.corianderweir.daemon.settings.UnfinishedLimitSettings;
 import org.corianderweir.http.CallerConnection;
 import org.corianderweir.http.CallerRequestHandler;
 import org.corianderweir.http.HttpAddress;
@@ -18,7 +21,6 @@
 import org.corianderweir.http.HttpListener;
 import org.corianderweir.http.HttpListenerOptions;
 import org.corianderweir.http.HttpRequest;
-import org.corianderweir.http.HttpRequestHandler;
 import org.corianderweir.http.HttpResponse;
 import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.traffic.Admission;
@@ -47,9 +49,6 @@
   /** A transfer takes longer than this only if the caller does not read. */
   private static final Duration TRANSFER_TIMEOUT = Duration.ofSeconds(15);
 
-  /** Ratio of the file descriptors for callers. Connections to servers and files need the rest. */
-  private static final double CALLER_DESCRIPTOR_RATIO = 0.5;
-
   private static final int CONNECTIONS_PER_SERVER = 64;
   private static final int WORKER_THREAD_COUNT = 1;
   private static final int STATUS_OK = 200;
@@ -102,7 +101,8 @@
     this.director = director;
     this.log = log;
     this.messages = new ServerMessageTranslator(names);
-    MemoryPlan memory = MemoryPlan.forHeap(Runtime.getRuntime().maxMemory());
+    long heapBytes = Runtime.getRuntime().maxMemory();
+    MemoryPlan memory = MemoryPlan.forHeap(heapBytes);
     this.time = time;
     client =
         new HttpClient(
@@ -111,21 +111,29 @@
                 .withConnectionsPerAddress(CONNECTIONS_PER_SERVER)
                 .withEchoHeader(names.requestIdentifier())
                 .withMemory(memory.responses()));
-    int callerConnections = (int) (CALLER_DESCRIPTOR_RATIO * settings.fileDescriptorLimit());
+    DescriptorPlan descriptors = DescriptorPlan.forLimit(settings.fileDescriptorLimit());
+    UnfinishedLimitSettings unfinished = settings.unfinishedLimits();
+    long unfinishedBytes = (long) (unfinished.memoryRatio() * heapBytes);
     requestListener =
         new HttpListener(
             listenerOptions(
                     "requests",
                     settings.callerAddress(),
-                    callerConnections,
+                    descriptors.requests(),
                     memory.requestLimitBytes())
-                .withMemory(memory.requests()),
+                .withMemory(memory.requests())
+                .withUnfinished(unfinished.limits(unfinishedBytes)),
             new ForwardingHandler());
     controlListeners =
         List.of(
-            listener(
-                "readiness", settings.readinessAddress(), callerConnections, this::handleReadiness),
-            listener("look-ups", settings.lookupAddress(), callerConnections, this::handleLookup));
+            new HttpListener(
+                controlOptions(
+                    "readiness", settings.readinessAddress(), descriptors.readiness(), settings),
+                this::handleReadiness),
+            new HttpListener(
+                controlOptions(
+                    "look-ups", settings.lookupAddress(), descriptors.lookups(), settings),
+                this::handleLookup));
   }
 
   void start() {
@@ -139,6 +147,14 @@
     director.apply(view, time.monotonicNanoseconds());
     log.fleetChanged(view);
     ready = view.index().isPresent();
+    view.index()
+        .map(index -> index.configuration().limits().headerTimeout())
+        .ifPresent(timeout -> listeners().forEach(listener -> listener.setHeadTimeout(timeout)));
+  }
+
+  /** Returns the listeners for requests, readiness checks and look-ups. */
+  List<HttpListener> listeners() {
+    return Stream.concat(Stream.of(requestListener), controlListeners.stream()).toList();
   }
 
   /** Stops when callers have noticed and all requests are answered, at the latest in time. */
@@ -165,10 +181,14 @@
     return time.monotonicNanoseconds();
   }
 
-  private static HttpListener listener(
-      String name, HttpAddress address, int connections, HttpRequestHandler handler) {
-    return new HttpListener(
-        listenerOptions(name, address, connections, CONTROL_BODY_LIMIT_BYTES), handler);
+  /** Returns the options of a listener whose requests need no bodies. */
+  static HttpListenerOptions controlOptions(
+      String name, HttpAddress address, int connections, EntrySettings settings) {
+    long heapBytes = Runtime.getRuntime().maxMemory();
+    return listenerOptions(name, address, connections, CONTROL_BODY_LIMIT_BYTES)
+        .withMemory(MemoryPlan.controlBodies(heapBytes))
+        .withUnfinished(
+            settings.unfinishedLimits().limits(MemoryPlan.controlUnfinishedBytes(heapBytes)));
   }
 
   private static HttpListenerOptions listenerOptions(
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/MetricsEndpoint.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/MetricsEndpoint.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.corianderweir.http.ClosureCause;
 import org.corianderweir.http.HttpHeaders;
 import org.corianderweir.http.HttpListener;
 import org.corianderweir.http.HttpListenerOptions;
@@ -28,9 +29,20 @@
   private final MetricRegistry metrics;
   private final HttpListener listener;
 
-  MetricsEndpoint(String host, int port, MetricRegistry metrics) {
+  MetricsEndpoint(HttpListenerOptions options, MetricRegistry metrics) {
     this.metrics = metrics;
-    listener = new HttpListener(new HttpListenerOptions("metrics", host, port, 0, 1), this::answer);
+    listener = new HttpListener(options, this::answer);
+    exportLimits(options.name(), listener);
+  }
+
+  /** Adds metrics of what unfinished requests occupy, and of connections closed at limits. */
+  void exportLimits(String name, HttpListener limited) {
+    metrics.gauge("connections." + name + ".unfinished-bytes", () -> limited::unfinishedBytes);
+    for (ClosureCause cause : ClosureCause.values()) {
+      metrics.gauge(
+          "connections." + name + ".closed." + cause,
+          () -> () -> limited.closures().getOrDefault(cause, 0L));
+    }
   }
 
   void start() {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/peer/FrameFilter.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/peer/FrameFilter.java
@@ -7,6 +7,7 @@
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
 
 /**
@@ -15,6 +16,12 @@
 final class FrameFilter extends BaseFilter {
   private static final int LENGTH_BYTES = 4;
 
+  /**
+   * Parts of frames up to this size are copied to an array of their size. Otherwise each read would
+   * keep its buffer alive until the frame is complete.
+   */
+  private static final int COPIED_BYTES = 4 * 1024;
+
   private final ToIntFunction<Connection<?>> limitBytes;
   private final BiConsumer<Connection<?>, String> refusalHandler;
 
@@ -35,7 +42,7 @@
   public NextAction handleRead(FilterChainContext context) {
     Buffer buffer = context.getMessage();
     if (buffer.remaining() < LENGTH_BYTES) {
-      return context.getStopAction(buffer);
+      return context.getStopAction(compact(buffer));
     }
     int length = buffer.getInt(buffer.position());
     if (length <= 0 || length > limitBytes.applyAsInt(context.getConnection())) {
@@ -43,7 +50,7 @@
       return context.getStopAction();
     }
     if (buffer.remaining() < LENGTH_BYTES + length) {
-      return context.getStopAction(buffer);
+      return context.getStopAction(compact(buffer));
     }
     Buffer rest = buffer.split(buffer.position() + LENGTH_BYTES + length);
     buffer.position(buffer.position() + LENGTH_BYTES);
@@ -54,6 +61,16 @@
     return context.getInvokeAction(rest.hasRemaining() ? rest : null);
   }
 
+  private static Buffer compact(Buffer part) {
+    if (part.remaining() > COPIED_BYTES) {
+      return part;
+    }
+    byte[] bytes = new byte[part.remaining()];
+    part.get(bytes);
+    part.tryDispose();
+    return Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes);
+  }
+
   @Override
   public NextAction handleWrite(FilterChainContext context) {
     byte[] payload = context.getMessage();
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/peer/PeerSessions.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/peer/PeerSessions.java
@@ -12,13 +12,18 @@
   /** Largest frame of an authenticated peer; large enough for a document of the configuration. */
   static final int FRAME_LIMIT_BYTES = 2 * 1024 * 1024;
 
-  private static final int HALF_OPEN_LIMIT = 512;
+  private static final int DEFAULT_HALF_OPEN_LIMIT = 512;
 
   private final Map<Connection<?>, PeerSession> sessions = new ConcurrentHashMap<>();
+  private volatile int halfOpenLimit = DEFAULT_HALF_OPEN_LIMIT;
+
+  void setHalfOpenLimit(int limit) {
+    halfOpenLimit = limit;
+  }
 
   /** Adds a session unless too many handshakes are in progress; returns whether it was added. */
   boolean add(PeerSession session) {
-    if (halfOpenCount() >= HALF_OPEN_LIMIT) {
+    if (halfOpenCount() >= halfOpenLimit) {
       return false;
     }
     sessions.put(session.connection(), session);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/peer/PeerTransport.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/peer/PeerTransport.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.corianderweir.daemon.control.EventLog;
+import org.corianderweir.http.TransportMemory;
 import org.corianderweir.kernel.GuardedTask;
 import org.corianderweir.kernel.Service;
 import org.corianderweir.kernel.ServiceDirectory;
@@ -103,6 +104,7 @@
     this.metrics = metrics;
     this.time = time;
     transport = TCPNIOTransportBuilder.newInstance().setTcpNoDelay(true).build();
+    TransportMemory.configure(transport);
     transport.setReuseAddress(true);
     transport.setConnectionTimeout(CONNECT_TIMEOUT_MILLISECONDS);
     transport.setSelectorRunnersCount(1);
@@ -121,6 +123,11 @@
             .build());
   }
 
+  /** Sets how many handshakes may be in progress; further connections are closed at once. */
+  public void setHandshakeLimit(int limit) {
+    sessions.setHalfOpenLimit(limit);
+  }
+
   private record Registration<T extends PeerMessage>(
       Class<T> type, Consumer<ReceivedMessage<T>> listener) {
     void deliverIfMatching(PeerIdentity sender, PeerMessage message) {
@@ -270,6 +277,7 @@
       PeerSession session =
           new PeerSession(connection, handshake::receive, () -> {}, time.monotonicNanoseconds());
       if (!sessions.add(session)) {
+        metrics.meter("peers.refused-connections").mark();
         connection.closeSilently();
       }
     }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettingDeclarations.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettingDeclarations.java
@@ -19,6 +19,7 @@
   private static final SettingType<Integer> PORT = new SettingType.WholeNumber(1, PORT_MAXIMUM);
   private static final SettingType<Duration> SECONDS =
       new SettingType.Seconds(Duration.ofSeconds(SECONDS_PER_DAY));
+  private static final SettingType<Double> RATIO = new SettingType.Decimal(0.001, 1);
   private static final SettingType<Double> MARGIN = new SettingType.Decimal(0, MARGIN_MAXIMUM);
 
   private static final Setting<String> NAME =
@@ -97,6 +98,31 @@
           new SettingType.WholeNumber(FILE_DESCRIPTOR_LIMIT_MINIMUM, Integer.MAX_VALUE),
           "sockets and files that the process may open");
 
+  private static final Setting<Double> UNFINISHED_MEMORY_RATIO =
+      Setting.optional(
+          "limits",
+          "unfinished-memory-ratio",
+          RATIO,
+          "0.04",
+          "part of the heap for heads and chunk lines without an end;"
+              + " beyond it, the connection that holds most is closed");
+  private static final Setting<Double> UNFINISHED_CONNECTION_RATIO =
+      Setting.optional(
+          "limits",
+          "unfinished-connection-ratio",
+          RATIO,
+          "0.5",
+          "part of a port's connections with an unfinished request; beyond it, the oldest is"
+              + " closed");
+  private static final Setting<Duration> STALL_TIMEOUT =
+      Setting.optional(
+          "limits",
+          "stall-milliseconds",
+          new SettingType.Milliseconds(1, MILLISECONDS_PER_DAY),
+          "8000",
+          "longest time without a byte of a body while less than a quarter of the memory for"
+              + " bodies is left");
+
   private EntrySettingDeclarations() {}
 
   /** Returns all declarations in the order of docs/SETTINGS.md. */
@@ -115,6 +141,9 @@
         STORE_ADDRESS,
         HEARTBEAT_INTERVAL,
         FILE_DESCRIPTOR_LIMIT,
+        UNFINISHED_MEMORY_RATIO,
+        UNFINISHED_CONNECTION_RATIO,
+        STALL_TIMEOUT,
         STOP_TIMEOUT,
         RETRY_RATIO,
         RETRY_MARGIN,
@@ -145,6 +174,10 @@
         file.value(STOP_TIMEOUT),
         file.value(HEARTBEAT_INTERVAL),
         file.value(FILE_DESCRIPTOR_LIMIT),
+        new UnfinishedLimitSettings(
+            file.value(UNFINISHED_MEMORY_RATIO),
+            file.value(UNFINISHED_CONNECTION_RATIO),
+            file.value(STALL_TIMEOUT)),
         new FleetBounds(
             file.value(RETRY_RATIO),
             file.value(RETRY_MARGIN),
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettings.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettings.java
@@ -22,6 +22,7 @@
  * @param stopTimeout longest time of a planned stop
  * @param heartbeatInterval time between two heartbeats of a backend server
  * @param fileDescriptorLimit sockets and files that the process may open
+ * @param unfinishedLimits limits on the requests that callers have begun and not finished
  * @param bounds bounds that hold over all entry instances together
  */
 public record EntrySettings(
@@ -37,6 +38,7 @@
     Duration stopTimeout,
     Duration heartbeatInterval,
     int fileDescriptorLimit,
+    UnfinishedLimitSettings unfinishedLimits,
     FleetBounds bounds) {
   /** Returns the fleet member as which this instance announces itself to the other members. */
   public FleetMember member(long incarnation) {
--- a/weirhttp/src/main/java/org/corianderweir/http/BodyBuffer.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/BodyBuffer.java
@@ -14,6 +14,8 @@
   private static final int FIRST_SEGMENT_BYTES = 1024;
   private static final int LARGEST_SEGMENT_BYTES = 64 * 1024;
 
+  private static final byte[] NONE = new byte[0];
+
   private final int limitBytes;
   private final BodyMemory memory;
   private final MemoryLease lease;
@@ -48,10 +50,14 @@
     return Addition.ADDED;
   }
 
-  /** Adds a part. After a result other than {@code ADDED} the body is incomplete. */
+  /**
+   * Adds a part. After a result other than {@code ADDED} the body is incomplete and is dropped,
+   * because its lease ends while the rest is still read.
+   */
   Addition add(byte[] part) {
     int limit = whole == null ? limitBytes : whole.length;
     if (part.length > limit - sizeBytes) {
+      drop();
       return Addition.BODY_TOO_LARGE;
     }
     if (whole != null) {
@@ -67,6 +73,7 @@
     if (whole == null) {
       int heldBytes = allocatedBytes;
       if (!lease.tryReserve(memory.budgetFor(heldBytes), sizeBytes)) {
+        drop();
         return Optional.empty();
       }
       whole = join();
@@ -76,10 +83,16 @@
     return Optional.of(whole);
   }
 
+  private void drop() {
+    whole = NONE;
+    segments.clear();
+  }
+
   private Addition addToSegments(byte[] part) {
     int added = 0;
     while (added < part.length) {
       if (sizeBytes == allocatedBytes && !addSegment()) {
+        drop();
         return Addition.BUDGET_EXHAUSTED;
       }
       byte[] segment = segments.getLast();
--- a/weirhttp/src/main/java/org/corianderweir/http/ConnectionGuard.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ConnectionGuard.java
@@ -37,6 +37,7 @@
   private final Map<InetAddress, Integer> countByAddress = new ConcurrentHashMap<>();
   private final Map<Connection<?>, Long> writingSince = new HashMap<>();
   private final ScheduledThreadPoolExecutor sweeper;
+  private final UnfinishedRequests unfinished;
 
   /**
    * Creates a guard.
@@ -44,10 +45,15 @@
    * @param transferTimeout longest time to send a request or to read a response
    */
   ConnectionGuard(
-      String name, int connectionLimit, int connectionLimitPerAddress, Duration transferTimeout) {
+      String name,
+      int connectionLimit,
+      int connectionLimitPerAddress,
+      Duration transferTimeout,
+      UnfinishedRequests unfinished) {
     this.connectionLimit = connectionLimit;
     this.connectionLimitPerAddress = connectionLimitPerAddress;
     this.transferTimeout = transferTimeout;
+    this.unfinished = unfinished;
     sweeper =
         new ScheduledThreadPoolExecutor(
             1,
@@ -110,7 +116,11 @@
     ACTIVITY.set(connection, new ConnectionActivity(System.nanoTime()));
     connections.put(connection, address);
     connection.addCloseListener((closeable, type) -> removeConnection(connection));
-    if (connections.size() > connectionLimit || fromAddress > connectionLimitPerAddress) {
+    boolean tooManyFromAddress = fromAddress > connectionLimitPerAddress;
+    if ((tooManyFromAddress || connections.size() > connectionLimit)
+        && !closeLongestIdle(connection, tooManyFromAddress ? address : null)
+        && !unfinished.closeOldest(ClosureCause.TOO_MANY_CONNECTIONS)) {
+      unfinished.count(ClosureCause.TOO_MANY_CONNECTIONS);
       connection.closeSilently();
       return context.getStopAction();
     }
@@ -123,6 +133,34 @@
     return context.getInvokeAction();
   }
 
+  /**
+   * Closes the connection that has been idle for longest, so that idle connections don't keep new
+   * callers out; returns false if there is none.
+   */
+  private boolean closeLongestIdle(Connection<?> accepted, @Nullable InetAddress fromAddress) {
+    long nowNanoseconds = System.nanoTime();
+    Connection<?> longestIdle = null;
+    Duration longest = Duration.ZERO;
+    for (Map.Entry<Connection<?>, InetAddress> entry : connections.entrySet()) {
+      Connection<?> connection = entry.getKey();
+      ConnectionActivity activity = ACTIVITY.get(connection);
+      boolean idle = connection != accepted && activity.isIdle() && !isSending(connection);
+      if (idle
+          && (fromAddress == null || fromAddress.equals(entry.getValue()))
+          && activity.quietTime(nowNanoseconds).compareTo(longest) > 0) {
+        longestIdle = connection;
+        longest = activity.quietTime(nowNanoseconds);
+      }
+    }
+    if (longestIdle == null) {
+      return false;
+    }
+    unfinished.count(ClosureCause.IDLE);
+    removeConnection(longestIdle);
+    longestIdle.closeSilently();
+    return true;
+  }
+
   private void removeConnection(Connection<?> connection) {
     InetAddress address = connections.remove(connection);
     if (address != null) {
@@ -140,10 +178,12 @@
       ConnectionActivity activity = ACTIVITY.get(connection);
       if (activity.isReadingLongerThan(transferTimeout, nowNanoseconds)
           || isOverdue(writeStartNanoseconds(connection), nowNanoseconds)) {
+        unfinished.count(ClosureCause.TRANSFER_TIMEOUT);
         connection.terminateSilently();
       }
     }
     writingSince.keySet().retainAll(connections.keySet());
+    unfinished.sweep(nowNanoseconds);
   }
 
   private boolean isOverdue(@Nullable Long startNanoseconds, long nowNanoseconds) {
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
@@ -60,6 +60,7 @@
     // The filters never block, so no worker threads are needed.
     transport.setIOStrategy(SameThreadIOStrategy.getInstance());
     transport.setSelectorRunnersCount(1);
+    TransportMemory.configure(transport);
     transport.setProcessor(
         FilterChainBuilder.stateless()
             .add(new TransportFilter())
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
@@ -24,6 +25,7 @@
 
   private final HttpServer server;
   private final ConnectionGuard guard;
+  private final UnfinishedRequests unfinished;
   private final NetworkListener listener;
 
   /** Creates a server without starting it. */
@@ -34,12 +36,14 @@
   /** Creates a server without starting it, whose handler can ask for the caller's connection. */
   public HttpListener(HttpListenerOptions options, CallerRequestHandler requestHandler) {
     server = new HttpServer();
+    unfinished = new UnfinishedRequests(options);
     guard =
         new ConnectionGuard(
             options.name(),
             options.connectionLimit(),
             options.connectionLimitPerAddress(),
-            options.transferTimeout());
+            options.transferTimeout(),
+            unfinished);
     listener = new NetworkListener(options.name(), options.host(), options.port());
     listener.getKeepAlive().setIdleTimeoutInSeconds(IDLE_TIMEOUT_SECONDS);
     listener.getKeepAlive().setMaxRequestsCount(-1);
@@ -53,6 +57,7 @@
                 .setCorePoolSize(options.workerThreads())
                 .setMaxPoolSize(options.workerThreads()));
     listener.getTransport().setSelectorRunnersCount(1);
+    TransportMemory.configure(listener.getTransport());
     listener.registerAddOn((unused, filters) -> setFilters(filters));
     listener
         .getTransport()
@@ -75,6 +80,9 @@
     int afterTransport = filters.indexOfType(TransportFilter.class) + 1;
     filters.add(afterTransport, new DisconnectDetectionFilter());
     filters.add(afterTransport + 1, guard);
+    filters.add(
+        filters.indexOfType(StrictServerFilter.class),
+        new UnfinishedRequestFilter(unfinished, HEADER_LIMIT_BYTES));
   }
 
   /**
@@ -94,6 +102,26 @@
     }
   }
 
+  /** Returns the name of the interface. */
+  public String name() {
+    return listener.getName();
+  }
+
+  /** Sets the longest time in which a caller must send a head. */
+  public void setHeadTimeout(Duration timeout) {
+    unfinished.setHeadTimeout(timeout);
+  }
+
+  /** Returns how many connections were closed at a limit, for each cause. */
+  public Map<ClosureCause, Long> closures() {
+    return unfinished.closures();
+  }
+
+  /** Returns the bytes that are held of heads and chunk lines without an end. */
+  public long unfinishedBytes() {
+    return unfinished.heldBytes();
+  }
+
   /** Returns the TCP port on which the server listens. */
   public int port() {
     return listener.getPort();
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpListenerOptions.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpListenerOptions.java
@@ -14,6 +14,7 @@
  * @param connectionLimitPerAddress largest number of open connections from one IP address
  * @param transferTimeout longest time in which a caller must send a request or read a response
  * @param memory memory of the request bodies
+ * @param unfinished limits on requests that callers have begun and not finished
  */
 public record HttpListenerOptions(
     String name,
@@ -24,7 +25,8 @@
     int connectionLimit,
     int connectionLimitPerAddress,
     Duration transferTimeout,
-    BodyMemory memory) {
+    BodyMemory memory,
+    UnfinishedLimits unfinished) {
   /** Request bodies of the largest size that are held in memory at the same time. */
   private static final int LARGEST_BODY_COUNT = 2;
 
@@ -45,13 +47,23 @@
         DEFAULT_CONNECTION_LIMIT,
         DEFAULT_CONNECTION_LIMIT_PER_ADDRESS,
         DEFAULT_TRANSFER_TIMEOUT,
-        new BodyMemory(SMALL_BODIES_BYTES, (long) LARGEST_BODY_COUNT * bodyLimitBytes));
+        new BodyMemory(SMALL_BODIES_BYTES, (long) LARGEST_BODY_COUNT * bodyLimitBytes),
+        UnfinishedLimits.DEFAULT);
   }
 
   /** Returns the same options with other limits on connections and transfers. */
   public HttpListenerOptions withLimits(int connections, int perAddress, Duration transfer) {
     return new HttpListenerOptions(
-        name, host, port, bodyLimitBytes, workerThreads, connections, perAddress, transfer, memory);
+        name,
+        host,
+        port,
+        bodyLimitBytes,
+        workerThreads,
+        connections,
+        perAddress,
+        transfer,
+        memory,
+        unfinished);
   }
 
   /** Returns the same options with the given memory of the request bodies. */
@@ -65,6 +77,22 @@
         connectionLimit,
         connectionLimitPerAddress,
         transferTimeout,
-        bodyMemory);
+        bodyMemory,
+        unfinished);
+  }
+
+  /** Returns the same options with other limits on unfinished requests. */
+  public HttpListenerOptions withUnfinished(UnfinishedLimits limits) {
+    return new HttpListenerOptions(
+        name,
+        host,
+        port,
+        bodyLimitBytes,
+        workerThreads,
+        connectionLimit,
+        connectionLimitPerAddress,
+        transferTimeout,
+        memory,
+        limits);
   }
 }
--- a/weirhttp/src/main/java/org/corianderweir/http/StrictServerFilter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/StrictServerFilter.java
@@ -36,7 +36,10 @@
     if (!supported || !FramingValidator.isMethod(request.getMethod().getMethodString())) {
       throw new HttpBrokenContentException("not an HTTP/1.1 request");
     }
-    return super.onHttpHeaderParsed(message, buffer, context);
+    boolean failed = super.onHttpHeaderParsed(message, buffer, context);
+    UnfinishedRequestFilter.onHead(
+        context.getConnection(), message.isChunked(), message.getContentLength());
+    return failed;
   }
 
   @Override
