--- a/weirhttp/src/main/java/org/corianderweir/http/ConnectionGuard.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ConnectionGuard.java
@@ -27,6 +27,11 @@
 final class ConnectionGuard extends BaseFilter {
   private static final Attribute<ConnectionActivity> ACTIVITY =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("corianderweir.http.activity");
+  private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+
+  /** Time for a caller to close its side after a response that ends the connection. */
+  private static final Duration LINGER_TIMEOUT = Duration.ofSeconds(1);
+
   private static final long SWEEP_PERIOD_MILLISECONDS = 500;
   private static final Logger LOGGER = Logger.getLogger(ConnectionGuard.class);
 
@@ -78,6 +83,11 @@
     sweeper.shutdownNow();
   }
 
+  /** Records that bytes of a request are parsed, which begins its time limit. */
+  static void onBytesReceived(Connection<?> connection) {
+    ACTIVITY.get(connection).onBytesReceived(System.nanoTime());
+  }
+
   /** Ends the time limit for sending a request, because the request was read completely. */
   static void onRequestRead(Connection<?> connection) {
     ACTIVITY.get(connection).onRequestRead();
@@ -127,12 +137,6 @@
     return context.getInvokeAction();
   }
 
-  @Override
-  public NextAction handleRead(FilterChainContext context) {
-    ACTIVITY.get(context.getConnection()).onBytesReceived(System.nanoTime());
-    return context.getInvokeAction();
-  }
-
   /**
    * Closes the connection that has been idle for longest, so that idle connections don't keep new
    * callers out; returns false if there is none.
@@ -170,14 +174,21 @@
   }
 
   /**
-   * Terminates the connections that exceed the transfer timeout. A graceful close would wait for a
-   * caller that does not read.
+   * Closes idle connections, and terminates those that exceed the transfer timeout. A graceful
+   * close would wait for a caller that does not read.
    */
   private void closeOverdueConnections(long nowNanoseconds) {
     for (Connection<?> connection : connections.keySet()) {
       ConnectionActivity activity = ACTIVITY.get(connection);
-      if (activity.isReadingLongerThan(transferTimeout, nowNanoseconds)
-          || isOverdue(writeStartNanoseconds(connection), nowNanoseconds)) {
+      CallerPipeline pipeline = CallerPipeline.of(connection);
+      boolean sending = isSending(connection);
+      if (!sending
+          && (activity.isIdleLongerThan(IDLE_TIMEOUT, nowNanoseconds)
+              || pipeline.isLingeringLongerThan(LINGER_TIMEOUT, nowNanoseconds))) {
+        connection.closeSilently();
+      } else if (isOverdue(writeStartNanoseconds(connection), nowNanoseconds)
+          || (activity.isReadingLongerThan(transferTimeout, nowNanoseconds)
+              && !pipeline.endReading())) {
         unfinished.count(ClosureCause.TRANSFER_TIMEOUT);
         connection.terminateSilently();
       }
@@ -194,14 +205,18 @@
   /**
    * Returns the monotonic time since which bytes of a response have waited for the caller to read
    * them, or null if none wait. A sweep that finds bytes waiting for the first time starts the
-   * time.
+   * time, and each response that is passed on starts it again.
    */
   private @Nullable Long writeStartNanoseconds(Connection<?> connection) {
     if (!isSending(connection)) {
       writingSince.remove(connection);
       return null;
     }
-    return writingSince.computeIfAbsent(connection, unused -> System.nanoTime());
+    long latestResponse = ACTIVITY.get(connection).latestResponseNanoseconds();
+    return writingSince.merge(
+        connection,
+        System.nanoTime(),
+        (since, unused) -> since - latestResponse < 0 ? latestResponse : since);
   }
 
   /** Returns whether bytes of a response wait in the process for the caller to read. */
--- a/weirhttp/src/main/java/org/corianderweir/http/UnfinishedRequestFilter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/UnfinishedRequestFilter.java
@@ -47,8 +47,21 @@
   public NextAction handleRead(FilterChainContext context) {
     InboundStream stream = STREAM.get(context.getConnection());
     Buffer input = context.getMessage();
+    CallerPipeline pipeline = CallerPipeline.of(context.getConnection());
+    if (pipeline.hasReadingEnded()) {
+      input.tryDispose();
+      return context.getStopAction();
+    }
+    if (!pipeline.mayParse() || pipeline.reader().isDeferred()) {
+      // These bytes come again from below, so they must not be gone over yet.
+      pipeline.hold(input);
+      return context.getStopAction();
+    }
     stream.onBytes(System.nanoTime());
     int end = stream.advance(input);
+    if (stream.isUnfinished() || end > input.position()) {
+      ConnectionGuard.onBytesReceived(context.getConnection());
+    }
     NextAction action =
         end > input.position() ? pass(context, stream, input, end) : hold(context, stream, input);
     if (!stream.awaitsFraming()) {
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -101,6 +101,11 @@
     };
   }
 
+  /** Returns whether a request is on a route whose requests may run more than once. */
+  public synchronized boolean isIdempotent(RequestAttributes attributes) {
+    return match(attributes, 0) instanceof RouteMatch.Found found && found.route().idempotent();
+  }
+
   /** Decides whether a request without a body is admitted. */
   public Admission admit(RequestAttributes attributes, long nowNanoseconds) {
     return admit(attributes, 0, nowNanoseconds);
@@ -324,12 +329,12 @@
   /** Returns the time until a request that arrives now must have its answer, in nanoseconds. */
   private static long timeToDeadline(RequestAttributes attributes, TrafficRoute route) {
     long timeout = Durations.toBoundedNanoseconds(route.timeout());
-    return attributes.deadlineMilliseconds().isPresent()
-        ? Math.min(
-            timeout,
-            Durations.toBoundedNanoseconds(
-                Duration.ofMillis(attributes.deadlineMilliseconds().getAsLong())))
-        : timeout;
+    long asked =
+        attributes.deadlineMilliseconds().stream()
+            .map(wanted -> Durations.toBoundedNanoseconds(Duration.ofMillis(wanted)))
+            .findFirst()
+            .orElse(timeout);
+    return Math.min(timeout, asked) - attributes.queueTime().toNanos();
   }
 
   private static NextStep deliver() {
