--- a/weirhttp/src/main/java/org/corianderweir/http/InboundStream.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/InboundStream.java
@@ -253,6 +253,9 @@
   }
 
   private int advanceChunks(Buffer input) {
+    // Read from the array, since a body may consist of thousands of chunks of one byte.
+    byte[] bytes = input.hasArray() ? input.array() : copyOf(input);
+    int offset = input.hasArray() ? input.arrayOffset() : -input.position();
     int index = input.position();
     int usable = index;
     while (index < input.limit() && !chunks.isAtEnd()) {
@@ -261,7 +264,7 @@
         chunks.skipData(dataCount);
         index += dataCount;
         usable = index;
-      } else if (chunks.advance(input.get(index++))) {
+      } else if (chunks.advance(bytes[offset + index++])) {
         usable = index;
       }
       if (chunks.isInvalid()) {
@@ -276,6 +279,14 @@
     return usable;
   }
 
+  private static byte[] copyOf(Buffer input) {
+    byte[] bytes = new byte[input.remaining()];
+    int position = input.position();
+    input.get(bytes);
+    input.position(position);
+    return bytes;
+  }
+
   /** Passes on everything, for the codec to refuse it. */
   private int refuse(Buffer input) {
     part = Part.REFUSED;
