--- a/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettingDeclarations.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettingDeclarations.java
@@ -19,6 +19,7 @@
   private static final SettingType<Integer> PORT = new SettingType.WholeNumber(1, PORT_MAXIMUM);
   private static final SettingType<Duration> SECONDS =
       new SettingType.Seconds(Duration.ofSeconds(SECONDS_PER_DAY));
+  private static final SettingType<Double> RATIO = new SettingType.Decimal(0.001, 1);
   private static final SettingType<Double> MARGIN = new SettingType.Decimal(0, MARGIN_MAXIMUM);
 
   private static final Setting<String> NAME =
@@ -111,6 +112,30 @@
           new SettingType.WholeNumber(1, 1_000),
           "1",
           "processor cores of the machine; callers are directed to instances by share times cores");
+  private static final Setting<Double> UNFINISHED_MEMORY_RATIO =
+      Setting.optional(
+          "limits",
+          "unfinished-memory-ratio",
+          RATIO,
+          "0.04",
+          "part of the heap for heads and chunk lines without an end;"
+              + " beyond it, the connection that holds most is closed");
+  private static final Setting<Double> UNFINISHED_CONNECTION_RATIO =
+      Setting.optional(
+          "limits",
+          "unfinished-connection-ratio",
+          RATIO,
+          "0.5",
+          "part of a port's connections with an unfinished request; beyond it, the oldest is"
+              + " closed");
+  private static final Setting<Duration> STALL_TIMEOUT =
+      Setting.optional(
+          "limits",
+          "stall-milliseconds",
+          new SettingType.Milliseconds(1, MILLISECONDS_PER_DAY),
+          "8000",
+          "longest time without a byte of a body while less than a quarter of the memory for"
+              + " bodies is left");
 
   private EntrySettingDeclarations() {}
 
@@ -132,6 +157,9 @@
         FILE_DESCRIPTOR_LIMIT,
         PROCESSOR_SHARE,
         PROCESSOR_CORES,
+        UNFINISHED_MEMORY_RATIO,
+        UNFINISHED_CONNECTION_RATIO,
+        STALL_TIMEOUT,
         STOP_TIMEOUT,
         RETRY_RATIO,
         RETRY_MARGIN,
@@ -163,6 +191,10 @@
         file.value(HEARTBEAT_INTERVAL),
         file.value(FILE_DESCRIPTOR_LIMIT),
         file.value(PROCESSOR_SHARE) * file.value(PROCESSOR_CORES),
+        new UnfinishedLimitSettings(
+            file.value(UNFINISHED_MEMORY_RATIO),
+            file.value(UNFINISHED_CONNECTION_RATIO),
+            file.value(STALL_TIMEOUT)),
         new FleetBounds(
             file.value(RETRY_RATIO),
             file.value(RETRY_MARGIN),
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettings.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettings.java
@@ -23,6 +23,7 @@
  * @param heartbeatInterval time between two heartbeats of a backend server
  * @param fileDescriptorLimit sockets and files that the process may open
  * @param processorCapacity processor capacity of the machine in cores
+ * @param unfinishedLimits limits on the requests that callers have begun and not finished
  * @param bounds bounds that hold over all entry instances together
  */
 public record EntrySettings(
@@ -39,6 +40,7 @@
     Duration heartbeatInterval,
     int fileDescriptorLimit,
     double processorCapacity,
+    UnfinishedLimitSettings unfinishedLimits,
     FleetBounds bounds) {
   /** Returns the fleet member as which this instance announces itself to the other members. */
   public FleetMember member(long incarnation) {
--- a/weirdaemon/src/test/java/org/corianderweir/daemon/entry/PipelinedForwardingTest.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/entry/PipelinedForwardingTest.java
@@ -24,6 +24,7 @@
 import org.corianderweir.daemon.SystemTimeSource;
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.daemon.settings.EntrySettings;
+import org.corianderweir.daemon.settings.UnfinishedLimitSettings;
 import org.corianderweir.http.HttpAddress;
 import org.corianderweir.http.HttpListener;
 import org.corianderweir.http.HttpListenerOptions;
@@ -172,6 +173,7 @@
         Duration.ofSeconds(1),
         1_000,
         1,
+        UnfinishedLimitSettings.DEFAULT,
         new FleetBounds(0.2, 20, Duration.ofSeconds(10), 0.1, 20, Duration.ofSeconds(5)));
   }
 
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.corianderweir.model.ErrorCode;
 import org.corianderweir.model.WeirException;
@@ -23,6 +24,7 @@
   private final HttpListenerOptions options;
   private final TCPNIOTransport transport;
   private final ConnectionGuard guard;
+  private final UnfinishedRequests unfinished;
   private volatile int port;
   private volatile boolean stopping;
 
@@ -35,12 +37,14 @@
   public HttpListener(HttpListenerOptions options, CallerRequestHandler requestHandler) {
     this.options = options;
     port = options.port();
+    unfinished = new UnfinishedRequests(options);
     guard =
         new ConnectionGuard(
             options.name(),
             options.connectionLimit(),
             options.connectionLimitPerAddress(),
-            options.transferTimeout());
+            options.transferTimeout(),
+            unfinished);
     transport =
         TCPNIOTransportBuilder.newInstance()
             .setName(options.name())
@@ -55,6 +59,7 @@
                     .setCorePoolSize(options.workerThreads())
                     .setMaxPoolSize(options.workerThreads()))
             .build();
+    TransportMemory.configure(transport);
     transport
         .getAsyncQueueIO()
         .getWriter()
@@ -70,6 +75,7 @@
         FilterChainBuilder.stateless()
             .add(new ReadAheadFilter(context))
             .add(guard)
+            .add(new UnfinishedRequestFilter(unfinished, HEADER_LIMIT_BYTES))
             .add(new StrictServerFilter(HEADER_LIMIT_BYTES))
             .add(new RequestFilter())
             .build());
@@ -94,6 +100,26 @@
     }
   }
 
+  /** Returns the name of the interface. */
+  public String name() {
+    return options.name();
+  }
+
+  /** Sets the longest time in which a caller must send a head. */
+  public void setHeadTimeout(Duration timeout) {
+    unfinished.setHeadTimeout(timeout);
+  }
+
+  /** Returns how many connections were closed at a limit, for each cause. */
+  public Map<ClosureCause, Long> closures() {
+    return unfinished.closures();
+  }
+
+  /** Returns the bytes that are held of heads and chunk lines without an end. */
+  public long unfinishedBytes() {
+    return unfinished.heldBytes();
+  }
+
   /** Returns the TCP port on which the server listens. */
   public int port() {
     return port;
