--- a/weirhttp/src/main/java/org/corianderweir/http/ReadAheadFilter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ReadAheadFilter.java
@@ -18,12 +18,11 @@
  * a connection may read at the same time and the bytes must keep their order.
  */
 final class ReadAheadFilter extends TransportFilter {
-  private static final int READ_BYTES = 64 * 1024;
 
   private final ListenerContext listener;
 
   /** Used by the one selector thread of the listener. What was read is copied to its size. */
-  private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BYTES);
+  private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(TransportMemory.READ_BYTES);
 
   ReadAheadFilter(ListenerContext listener) {
     this.listener = listener;
