--- a/weirctl/src/main/java/org/corianderweir/ctl/CommandLine.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/CommandLine.java
@@ -16,6 +16,9 @@
   /** Word before a command that reports the effect of the command instead of applying it. */
   static final String DRY_RUN_COMMAND = "dry-run";
 
+  /** The command {@code explain request}; {@code explain} alone takes a path. */
+  static final String EXPLAIN_REQUEST_COMMAND = "explain-request";
+
   private static final int RESPONSE_LIMIT_BYTES = 8 * 1024 * 1024;
 
   private final Map<String, String> environment;
@@ -34,7 +37,7 @@
     GlobalOptions options = new GlobalOptions();
     JCommander root = CommandTree.build(options);
     try {
-      root.parse(withDryRunAsOption(arguments));
+      root.parse(withDryRunAsOption(withExplainRequestAsOneWord(arguments)));
       JCommander selected = selectedCommand(root);
       Object command = selected.getObjects().getFirst();
       if (options.help()) {
@@ -45,6 +48,10 @@
         output.println(local.run().format(options.format()));
         return ExitStatus.OK;
       }
+      if (command instanceof MetricsPortCommand explaining) {
+        output.println(run(explaining, options).format(options.format()));
+        return ExitStatus.OK;
+      }
       if (!(command instanceof Command remoteCommand)) {
         errorOutput.println(usage(selected));
         return ExitStatus.USAGE;
@@ -71,10 +78,7 @@
   }
 
   private CommandResult run(Command command, GlobalOptions options) {
-    HttpClient httpClient =
-        new HttpClient(
-            new HttpClientOptions(
-                "weirctl", options.timeout(), options.timeout(), RESPONSE_LIMIT_BYTES));
+    HttpClient httpClient = httpClient(options);
     OperatorClient client =
         new OperatorClient(
             httpClient,
@@ -89,12 +93,39 @@
     }
   }
 
+  private CommandResult run(MetricsPortCommand command, GlobalOptions options) {
+    HttpClient httpClient = httpClient(options);
+    httpClient.start();
+    try {
+      return command.run(httpClient, options, environment);
+    } finally {
+      httpClient.stop();
+    }
+  }
+
+  private static HttpClient httpClient(GlobalOptions options) {
+    return new HttpClient(
+        new HttpClientOptions(
+            "weirctl", options.timeout(), options.timeout(), RESPONSE_LIMIT_BYTES));
+  }
+
   private ExitStatus reportFailure(CommandException failure) {
     errorOutput.println("weirctl: " + failure.code() + ": " + failure.getMessage());
     errorOutput.println("next: " + failure.nextStep());
     return failure.status();
   }
 
+  /** Replaces the words {@code explain request} by the name of their command. */
+  private static String[] withExplainRequestAsOneWord(String[] arguments) {
+    List<String> rewritten = new ArrayList<>(Arrays.asList(arguments));
+    int index = rewritten.indexOf("explain");
+    if (index >= 0 && index + 1 < rewritten.size() && rewritten.get(index + 1).equals("request")) {
+      rewritten.subList(index, index + 2).clear();
+      rewritten.add(index, EXPLAIN_REQUEST_COMMAND);
+    }
+    return rewritten.toArray(String[]::new);
+  }
+
   /**
    * Replaces the first word {@code dry-run} by the option {@code --dry-run}. Leaves it as it is if
    * no command follows or if help is requested, so that it is parsed as a command of its own.
--- a/weirctl/src/main/java/org/corianderweir/ctl/CommandTree.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/CommandTree.java
@@ -6,6 +6,7 @@
 import org.corianderweir.ctl.command.ClientBlockCommands;
 import org.corianderweir.ctl.command.ConfigurationCommands;
 import org.corianderweir.ctl.command.DrainCommands;
+import org.corianderweir.ctl.command.ExplainRequestCommand;
 import org.corianderweir.ctl.command.InstanceCommands;
 import org.corianderweir.ctl.command.KeyCommands;
 import org.corianderweir.ctl.command.LabelCommands;
@@ -73,6 +74,7 @@
     add(configuration, options, "diff", new ConfigurationCommands.DiffCommand());
     add(configuration, options, "apply", new ConfigurationCommands.ApplyCommand());
     add(root, options, "explain", new ShiftCommands.ExplainCommand());
+    add(root, options, CommandLine.EXPLAIN_REQUEST_COMMAND, new ExplainRequestCommand());
     add(root, options, CommandLine.DRY_RUN_COMMAND, new DryRunCommand());
     add(root, options, "timeline", new TimelineCommand());
     add(root, options, "log", new LogCommand());
--- a/weirctl/src/main/java/org/corianderweir/ctl/GlobalOptions.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/GlobalOptions.java
@@ -37,7 +37,9 @@
       description = "the credential itself; other users of the machine can see it")
   private String credential = "";
 
-  @Parameter(names = "--format", description = "text or json")
+  @Parameter(
+      names = {"--format", "--output"},
+      description = "text or json")
   private OutputFormat format = OutputFormat.TEXT;
 
   @Parameter(
@@ -123,7 +125,12 @@
     return variable;
   }
 
-  private static HttpAddress parseAddress(String text) {
+  /**
+   * Returns the address that a text of the form {@code HOST:PORT} names.
+   *
+   * @throws CommandException if it is malformed
+   */
+  public static HttpAddress parseAddress(String text) {
     int colon = text.lastIndexOf(':');
     try {
       int port = Integer.parseInt(text.substring(colon + 1));
--- a/weirctl/src/test/java/org/corianderweir/ctl/CommandLineTest.java
+++ b/weirctl/src/test/java/org/corianderweir/ctl/CommandLineTest.java
@@ -533,7 +533,7 @@
             + "organisations set,organisations remove,limits,keys list,keys issue,"
             + "keys withdraw,drain,undrain,drains,shift show,shift pause,shift resume,"
             + "shift turn-back,config show,config history,config in-force,"
-            + "config diff,config apply,explain,dry-run,timeline";
+            + "config diff,config apply,explain,explain request,dry-run,timeline";
     return Arrays.stream(commands.split(","))
         .map(command -> new Object[] {command})
         .toArray(Object[][]::new);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/CallerResponses.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/CallerResponses.java
@@ -35,7 +35,8 @@
     return empty(failure.deadlinePassed() ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY);
   }
 
-  private static int status(RejectionReason reason) {
+  /** Returns the status of the answer to a rejected request. */
+  static int status(RejectionReason reason) {
     return switch (reason) {
       case NO_ROUTE -> STATUS_NOT_FOUND;
       case KEY_UNKNOWN -> STATUS_UNAUTHORIZED;
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
@@ -94,7 +94,12 @@
               () ->
                   director.conditionCounts(time.monotonicNanoseconds()).getOrDefault(condition, 0));
     }
-    metricsEndpoint = new MetricsEndpoint(self.host(), settings.metricsPort(), metrics);
+    metricsEndpoint =
+        new MetricsEndpoint(
+            self.host(),
+            settings.metricsPort(),
+            metrics,
+            new ExplainEndpoint(self, director, time::monotonicNanoseconds));
     entryService =
         new EntryService(
             settings, director, PlatformHeaders.NAMES, new RequestLog(events, metrics), time);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/MetricsEndpoint.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/MetricsEndpoint.java
@@ -16,8 +16,9 @@
 import org.corianderweir.http.HttpListenerOptions;
 import org.corianderweir.http.HttpRequest;
 import org.corianderweir.http.HttpResponse;
+import org.corianderweir.protocol.operator.RequestSample;
 
-/** Serves counters and timers in the text format of Prometheus. */
+/** Serves counters and timers in the text format of Prometheus, and explanations of requests. */
 final class MetricsEndpoint {
   private static final String PATH = "/metrics";
   private static final int STATUS_OK = 200;
@@ -26,10 +27,12 @@
   private static final double NANOSECONDS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
   private final MetricRegistry metrics;
+  private final ExplainEndpoint explanations;
   private final HttpListener listener;
 
-  MetricsEndpoint(String host, int port, MetricRegistry metrics) {
+  MetricsEndpoint(String host, int port, MetricRegistry metrics, ExplainEndpoint explanations) {
     this.metrics = metrics;
+    this.explanations = explanations;
     listener = new HttpListener(new HttpListenerOptions("metrics", host, port, 0, 1), this::answer);
   }
 
@@ -69,6 +72,9 @@
   }
 
   private CompletableFuture<HttpResponse> answer(HttpRequest request) {
+    if (request.path().equals(RequestSample.ENDPOINT_PATH)) {
+      return CompletableFuture.completedFuture(explanations.answer(request));
+    }
     boolean known = request.path().equals(PATH);
     return CompletableFuture.completedFuture(
         new HttpResponse(
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/RateShare.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/RateShare.java
@@ -55,8 +55,7 @@
   private static final double SAFETY_RATIO = 0.9;
 
   private final FleetBounds bounds;
-  private final SlidingWindowCounter demand =
-      new SlidingWindowCounter(DEMAND_WINDOW_NANOSECONDS, DEMAND_BUCKET_COUNT);
+  private final SlidingWindowCounter demand;
   private double limitPerSecond;
   private double burstLimit;
   private double reportedDemand;
@@ -72,6 +71,7 @@
   RateShare(
       CallerOrganisation organisation, FleetBounds bounds, int instances, long nowNanoseconds) {
     this.bounds = bounds;
+    demand = new SlidingWindowCounter(DEMAND_WINDOW_NANOSECONDS, DEMAND_BUCKET_COUNT);
     updateLimit(organisation);
     lastShare = 1.0 / instances;
     usedShare = lastShare;
@@ -79,6 +79,27 @@
     updatedNanoseconds = nowNanoseconds;
   }
 
+  private RateShare(RateShare original) {
+    bounds = original.bounds;
+    demand = original.demand.copy();
+    limitPerSecond = original.limitPerSecond;
+    burstLimit = original.burstLimit;
+    reportedDemand = original.reportedDemand;
+    fleetDemand = original.fleetDemand;
+    reportingInstances = original.reportingInstances;
+    digestNanoseconds = original.digestNanoseconds;
+    digestReceived = original.digestReceived;
+    tokens = original.tokens;
+    lastShare = original.lastShare;
+    usedShare = original.usedShare;
+    updatedNanoseconds = original.updatedNanoseconds;
+  }
+
+  /** Returns a copy that is used up by itself. */
+  RateShare copy() {
+    return new RateShare(this);
+  }
+
   /**
    * Tries to admit a request.
    *
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerChoice.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerChoice.java
@@ -69,7 +69,8 @@
         >= FULL_LOAD_REQUESTS_PER_SLOT * server.registration().slots();
   }
 
-  private static double expectedLatencyRatio(
+  /** Returns the expected latency of a request at a candidate, as a ratio to the usual latency. */
+  static double expectedLatencyRatio(
       Candidate candidate, int rank, String region, boolean sticky, long nowNanoseconds) {
     ServerState server = candidate.server();
     double work =
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
@@ -6,6 +6,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.corianderweir.model.traffic.FleetMember;
 import org.corianderweir.model.traffic.InstanceLocation;
 import org.corianderweir.model.traffic.ServerRegistration;
@@ -83,6 +85,11 @@
     return servers.get(server.registration().identifier()) == server;
   }
 
+  /** Returns the regions of the servers. */
+  Set<String> regions() {
+    return servers.values().stream().map(ServerState::region).collect(Collectors.toSet());
+  }
+
   /** Returns the number of servers by the label of their condition. */
   Map<String, Integer> conditionCounts(long nowNanoseconds) {
     Map<String, Integer> counts = new HashMap<>();
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerState.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerState.java
@@ -1,6 +1,7 @@
 package org.corianderweir.logic.traffic;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.corianderweir.model.Durations;
 import org.corianderweir.model.traffic.ServerRegistration;
@@ -237,6 +238,14 @@
     return inFlight + requestsOfOtherInstances * weight;
   }
 
+  /** Returns the age of the last load report; empty if there was none or it has no weight. */
+  Optional<Duration> reportAge(long nowNanoseconds) {
+    long age = nowNanoseconds - reportedNanoseconds;
+    return age < REPORT_LIFETIME_NANOSECONDS
+        ? Optional.of(Duration.ofNanos(age))
+        : Optional.empty();
+  }
+
   /** Returns the ratio of recent requests that failed. */
   public double failureRatio(long nowNanoseconds) {
     return failureRatio * decayFactor(nowNanoseconds);
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/SlidingWindowCounter.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/SlidingWindowCounter.java
@@ -28,10 +28,27 @@
     counts[index(newestBucket)]++;
   }
 
-  /** Returns the number of events in the window that ends now. */
+  /** Returns the number of events in the window that ends now. Changes nothing. */
   public long count(long nowNanoseconds) {
-    advance(nowNanoseconds);
-    return Arrays.stream(counts).sum();
+    long bucket = Math.floorDiv(nowNanoseconds, bucketNanoseconds);
+    if (newestBucket == Long.MIN_VALUE || bucket - newestBucket >= counts.length) {
+      return 0;
+    }
+    long oldest = Math.max(bucket, newestBucket) - counts.length + 1;
+    long sum = 0;
+    for (long counted = oldest; counted <= newestBucket; counted++) {
+      sum += counts[index(counted)];
+    }
+    return sum;
+  }
+
+  /** Returns a copy that counts by itself. */
+  SlidingWindowCounter copy() {
+    SlidingWindowCounter copy =
+        new SlidingWindowCounter(bucketNanoseconds * (counts.length - 1), counts.length - 1);
+    System.arraycopy(counts, 0, copy.counts, 0, counts.length);
+    copy.newestBucket = newestBucket;
+    return copy;
   }
 
   private void advance(long nowNanoseconds) {
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/SmoothWeightedRoundRobin.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/SmoothWeightedRoundRobin.java
@@ -12,6 +12,14 @@
 final class SmoothWeightedRoundRobin {
   private final Map<String, Map<String, Double>> creditByRoute = new HashMap<>();
 
+  /** Returns a copy that moves on by itself. */
+  SmoothWeightedRoundRobin copy() {
+    SmoothWeightedRoundRobin copy = new SmoothWeightedRoundRobin();
+    creditByRoute.forEach(
+        (route, credits) -> copy.creditByRoute.put(route, new HashMap<>(credits)));
+    return copy;
+  }
+
   /** Returns the service for the next request of a route. */
   String next(String route, List<WeightedService> services) {
     if (services.size() == 1) {
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -1,17 +1,18 @@
 package org.corianderweir.logic.traffic;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Function;
 import org.corianderweir.model.Durations;
 import org.corianderweir.model.traffic.CallerOrganisation;
 import org.corianderweir.model.traffic.FleetMember;
 import org.corianderweir.model.traffic.InstanceLocation;
-import org.corianderweir.model.traffic.ServiceSettings;
 import org.corianderweir.model.traffic.TrafficRoute;
 
 /**
@@ -30,12 +31,6 @@
 
   private static final Duration LONGEST_RETURN_DELAY = Duration.ofMillis(500);
 
-  /**
-   * Ratio of a cold server's rate limit that its owners together use, since they may have different
-   * views of the fleet.
-   */
-  private static final double COLD_RATE_SAFETY_RATIO = 0.9;
-
   /**
    * Time before a lower number of instances takes effect, because instances that are cut off from
    * the fleet keep using their shares.
@@ -45,6 +40,7 @@
   private final FleetMember self;
   private FleetBounds bounds;
   private final ServerPool servers;
+  private final ServerSelection selection;
   private final RouteLatencyAverages latencyAverages = new RouteLatencyAverages();
   private final SmoothWeightedRoundRobin serviceRotation = new SmoothWeightedRoundRobin();
   private final Map<String, RetryBudgetShare> retryBudgets = new HashMap<>();
@@ -59,6 +55,7 @@
     this.self = self;
     this.bounds = bounds;
     servers = new ServerPool(self, location);
+    selection = new ServerSelection(servers);
   }
 
   /** Applies a new view of the fleet. */
@@ -117,68 +114,150 @@
 
   private Admission admit(
       RequestAttributes attributes, RouteMatch.Found match, long nowNanoseconds) {
+    Admission admission =
+        admit(
+            attributes,
+            match,
+            organisation ->
+                rateShares.computeIfAbsent(
+                    organisation.name(), unused -> newShare(organisation, nowNanoseconds)),
+            serviceRotation,
+            nowNanoseconds);
+    if (admission instanceof Admission.Admitted admitted) {
+      retryBudget(admitted.request().service()).recordRequest(nowNanoseconds);
+    }
+    return admission;
+  }
+
+  /**
+   * Decides whether a request with a route is admitted.
+   *
+   * @param shares returns the share of an organisation's rate limit, which is used
+   * @param rotation rotation of the services of a route, which moves on
+   */
+  private Admission admit(
+      RequestAttributes attributes,
+      RouteMatch.Found match,
+      Function<CallerOrganisation, RateShare> shares,
+      SmoothWeightedRoundRobin rotation,
+      long nowNanoseconds) {
     TrafficRoute route = match.route();
-    Optional<CallerOrganisation> organisation = match.organisation();
     long deadlineNanoseconds = nowNanoseconds + timeToDeadline(attributes, route);
     if (isStoppingBefore(deadlineNanoseconds, nowNanoseconds)) {
       return new Admission.Rejected(RejectionReason.STOPPING, OTHER_INSTANCE_RETRY_AFTER);
     }
-    Optional<Admission.Rejected> overLimit =
-        organisation
-            .filter(CallerOrganisation::hasLimit)
-            .flatMap(limited -> checkRateLimit(limited, nowNanoseconds));
-    if (overLimit.isPresent()) {
-      return overLimit.get();
+    Optional<CallerOrganisation> limited = limited(match);
+    if (limited.isPresent()) {
+      RateShare share = shares.apply(limited.get());
+      Duration retryAfter = share.tryAcquire(limited.get(), instanceCount, nowNanoseconds);
+      if (!retryAfter.isZero()) {
+        return new Admission.Rejected(
+            RejectionReason.OVER_LIMIT, retryAfter, Optional.of(share.snapshot(limited.get())));
+      }
     }
-    String service = serviceRotation.next(route.name(), route.weightedServices());
-    retryBudget(service).recordRequest(nowNanoseconds);
     return new Admission.Admitted(
         new AdmittedRequest(
             attributes,
             route,
-            organisation,
-            service,
+            match.organisation(),
+            rotation.next(route.name(), route.weightedServices()),
             nowNanoseconds,
             deadlineNanoseconds,
             match.index().configuration().version()));
   }
 
+  private static Optional<CallerOrganisation> limited(RouteMatch.Found match) {
+    return match.organisation().filter(CallerOrganisation::hasLimit);
+  }
+
+  private RateShare newShare(CallerOrganisation organisation, long nowNanoseconds) {
+    return new RateShare(organisation, bounds, instanceCount, nowNanoseconds);
+  }
+
+  /**
+   * Explains what would be done with a request now. Goes through the decisions that serve requests,
+   * with copies of what they count, so nothing is recorded or used up.
+   *
+   * @param region region from which the request is taken to arrive
+   */
+  public synchronized RequestExplanation explain(
+      RequestAttributes attributes, long bodyBytes, String region, long nowNanoseconds) {
+    long version = view.index().map(index -> index.configuration().version()).orElse(0L);
+    RequestExplainer explainer = new RequestExplainer(self.name(), region, version, nowNanoseconds);
+    return switch (match(attributes, bodyBytes)) {
+      case RouteMatch.None none -> explainer.unmatched(none.rejected());
+      case RouteMatch.Found found -> {
+        Optional<RateShare> share =
+            limited(found)
+                .map(
+                    organisation ->
+                        Optional.ofNullable(rateShares.get(organisation.name()))
+                            .map(RateShare::copy)
+                            .orElseGet(() -> newShare(organisation, nowNanoseconds)));
+        Admission admission =
+            admit(
+                attributes,
+                found,
+                unused -> share.orElseThrow(),
+                serviceRotation.copy(),
+                nowNanoseconds);
+        Optional<RateLimitSnapshot> limit =
+            share.flatMap(used -> found.organisation().map(used::snapshot));
+        yield switch (admission) {
+          case Admission.Rejected rejected -> explainer.rejected(found, limit, rejected);
+          case Admission.Admitted admitted -> {
+            AdmittedRequest request = admitted.request();
+            Evaluation evaluation = evaluate(request, region, nowNanoseconds);
+            yield explainer.admitted(
+                found, limit, request, evaluation.step(), evaluation.selection());
+          }
+        };
+      }
+    };
+  }
+
   private RouteMatch match(RequestAttributes attributes, long bodyBytes) {
-    if (view.index().isEmpty()) {
-      return RouteMatch.none(RejectionReason.NOT_READY, DEFAULT_RETRY_AFTER);
-    }
-    TrafficIndex index = view.index().get();
-    Optional<TrafficRoute> route = index.route(attributes.host(), attributes.path());
-    if (route.isEmpty()) {
-      return RouteMatch.none(RejectionReason.NO_ROUTE, Duration.ZERO);
-    }
-    Optional<CallerOrganisation> organisation = attributes.accessKey().flatMap(index::organisation);
-    if (index.needsKeys() && !route.get().open() && organisation.isEmpty()) {
-      return RouteMatch.none(RejectionReason.KEY_UNKNOWN, Duration.ZERO);
-    }
-    if (bodyBytes > index.configuration().limits().maximumBodyBytes()) {
-      return RouteMatch.none(RejectionReason.BODY_TOO_LARGE, Duration.ZERO);
-    }
-    return new RouteMatch.Found(index, route.get(), organisation);
+    return view.index()
+        .map(index -> RouteMatch.of(index, attributes, bodyBytes))
+        .orElseGet(() -> RouteMatch.none(RejectionReason.NOT_READY, DEFAULT_RETRY_AFTER));
   }
 
   /** Chooses the server for the first send or a retry of a request. */
   public synchronized NextStep nextStep(AdmittedRequest request, long nowNanoseconds) {
+    Evaluation evaluation = evaluate(request, self.region(), nowNanoseconds);
+    evaluation
+        .selection()
+        .flatMap(ServerSelection.Selection::chosen)
+        .filter(unused -> evaluation.step() instanceof NextStep.Send)
+        .ifPresent(
+            chosen -> {
+              ServerState server = chosen.server();
+              request.recordSend(server.registration().identifier(), chosen.rank());
+              server.recordSend(nowNanoseconds);
+            });
+    return evaluation.step();
+  }
+
+  /** A next step that is not recorded yet, and the evaluation of the servers if it needed one. */
+  private record Evaluation(NextStep step, Optional<ServerSelection.Selection> selection) {}
+
+  private Evaluation evaluate(AdmittedRequest request, String region, long nowNanoseconds) {
     long timeLeft = request.deadlineNanoseconds() - nowNanoseconds;
     if (timeLeft < MINIMUM_SEND_TIME.toNanos()) {
-      return giveUp(request, RejectionReason.TOO_LATE);
+      return new Evaluation(giveUp(request, RejectionReason.TOO_LATE), Optional.empty());
     }
     if (!request.mayHaveRun() && isStoppingBefore(request.deadlineNanoseconds(), nowNanoseconds)) {
-      return new NextStep.Reject(RejectionReason.STOPPING, OTHER_INSTANCE_RETRY_AFTER);
-    }
-    Optional<ServerChoice.Chosen> chosen = chooseServer(request, nowNanoseconds);
-    if (chosen.isEmpty()) {
-      return giveUpWithoutServer(request, nowNanoseconds);
+      return new Evaluation(
+          new NextStep.Reject(RejectionReason.STOPPING, OTHER_INSTANCE_RETRY_AFTER),
+          Optional.empty());
     }
-    ServerState server = chosen.get().server();
-    request.recordSend(server.registration().identifier(), chosen.get().rank());
-    server.recordSend(nowNanoseconds);
-    return new NextStep.Send(server, Duration.ofNanos(timeLeft));
+    ServerSelection.Selection selected = selection.select(request, view, region, nowNanoseconds);
+    Optional<ServerChoice.Chosen> chosen = selected.chosen();
+    return new Evaluation(
+        chosen.isEmpty()
+            ? giveUpWithoutServer(request, nowNanoseconds)
+            : new NextStep.Send(chosen.get().server(), Duration.ofNanos(timeLeft)),
+        Optional.of(selected));
   }
 
   /**
@@ -281,6 +360,14 @@
     return remaining.isEmpty() ? List.of(self) : remaining;
   }
 
+  /** Returns the regions in which an entry instance or a server is known. */
+  public synchronized Set<String> regions() {
+    Set<String> regions = new TreeSet<>(servers.regions());
+    regions.add(self.region());
+    view.members().forEach(member -> regions.add(member.region()));
+    return regions;
+  }
+
   /** Returns the demand on this instance by organisation, in requests per second. */
   public synchronized Map<String, Double> demand(long nowNanoseconds) {
     Map<String, Double> demand = new HashMap<>();
@@ -404,94 +491,7 @@
     return Duration.ofNanos(Math.round(position * longest.toNanos()));
   }
 
-  private Optional<ServerChoice.Chosen> chooseServer(AdmittedRequest request, long nowNanoseconds) {
-    boolean sticky = request.route().sticky() && request.attributes().affinityKey().isPresent();
-    String affinityKey =
-        sticky
-            ? request.route().name() + '/' + request.attributes().affinityKey().get()
-            : request.attributes().identifier();
-    Placement placement = servers.placement(request.service());
-    long keyHash = Hashing.hash(affinityKey);
-    List<ServerState> candidates =
-        placement.candidates(keyHash, self.region(), request::allowsRegion);
-    Optional<ServerChoice.Chosen> best =
-        chooseBest(request, candidates, sticky, false, nowNanoseconds);
-    if (best.isEmpty()) {
-      best = chooseBest(request, candidates, sticky, true, nowNanoseconds);
-    }
-    boolean closed =
-        best.isEmpty()
-            && candidates.stream().anyMatch(server -> server.condition(nowNanoseconds).isClosed());
-    return closed
-        ? chooseBest(
-            request,
-            placement.allCandidates(keyHash, self.region(), request::allowsRegion),
-            sticky,
-            true,
-            nowNanoseconds)
-        : best;
-  }
-
-  private Optional<ServerChoice.Chosen> chooseBest(
-      AdmittedRequest request,
-      List<ServerState> rankedServers,
-      boolean sticky,
-      boolean lastResort,
-      long nowNanoseconds) {
-    List<ServerChoice.Candidate> candidates = new ArrayList<>();
-    for (int rank = 0; rank < rankedServers.size(); rank++) {
-      ServerState server = rankedServers.get(rank);
-      boolean healthy =
-          lastResort
-              || (!server.isEjected(nowNanoseconds)
-                  && !server.isUnresponsive(nowNanoseconds)
-                  && !ServerChoice.isFull(server, nowNanoseconds));
-      boolean usable =
-          healthy
-              && !server.condition(nowNanoseconds).isClosed()
-              && server.takesMoreAfterPause(nowNanoseconds)
-              && !request.hasTried(server.registration().identifier())
-              && acceptsRequest(request.service(), server, nowNanoseconds);
-      candidates.add(new ServerChoice.Candidate(server, rank == 0, usable));
-    }
-    return ServerChoice.best(candidates, self.region(), sticky, nowNanoseconds);
-  }
-
-  /** Returns whether a server is warm or this instance's share of a cold server has room. */
-  private boolean acceptsRequest(String service, ServerState server, long nowNanoseconds) {
-    if (!server.isCold(nowNanoseconds)) {
-      return true;
-    }
-    double rate =
-        view.index()
-            .map(index -> index.configuration().services().get(service))
-            .map(ServiceSettings::coldRequestsPerSecond)
-            .orElse(0.0);
-    if (rate <= 0) {
-      return true;
-    }
-    int owners = servers.coldServerOwnerCount(server);
-    return owners > 0
-        && server.coldRequests(nowNanoseconds) + 1
-            <= Math.max(1, COLD_RATE_SAFETY_RATIO * rate / owners);
-  }
-
   private RetryBudgetShare retryBudget(String service) {
     return retryBudgets.computeIfAbsent(service, unused -> new RetryBudgetShare(bounds));
   }
-
-  /** Admits a request within this instance's share of the rate limit, or returns a rejection. */
-  private Optional<Admission.Rejected> checkRateLimit(
-      CallerOrganisation organisation, long nowNanoseconds) {
-    RateShare share =
-        rateShares.computeIfAbsent(
-            organisation.name(),
-            unused -> new RateShare(organisation, bounds, instanceCount, nowNanoseconds));
-    Duration retryAfter = share.tryAcquire(organisation, instanceCount, nowNanoseconds);
-    return retryAfter.isZero()
-        ? Optional.empty()
-        : Optional.of(
-            new Admission.Rejected(
-                RejectionReason.OVER_LIMIT, retryAfter, Optional.of(share.snapshot(organisation))));
-  }
 }
