--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
@@ -102,7 +102,12 @@
           "servers.speed." + speed,
           () -> () -> director.speedCounts(time.monotonicNanoseconds()).getOrDefault(speed, 0));
     }
-    metricsEndpoint = new MetricsEndpoint(self.host(), settings.metricsPort(), metrics);
+    metricsEndpoint =
+        new MetricsEndpoint(
+            self.host(),
+            settings.metricsPort(),
+            metrics,
+            new ExplainEndpoint(self, director, time::monotonicNanoseconds));
     WaitingRequests waiting = new WaitingRequests(controlExecutor);
     metrics.gauge("requests.waiting", () -> waiting::count);
     entryService =
--- a/weirlib/src/main/java/org/corianderweir/logic/admission/CapacityAdmission.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/admission/CapacityAdmission.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 /**
@@ -59,6 +60,13 @@
       RandomGenerator random,
       long nowNanoseconds) {
     AdmissionResult result = explain(pool, request, candidate, random, nowNanoseconds);
+    record(pool, request, result, nowNanoseconds);
+    return result;
+  }
+
+  /** Counts a request that was decided about, unless it waits. */
+  public void record(
+      String pool, AdmissionRequest request, AdmissionResult result, long nowNanoseconds) {
     if (request.unsent() && !(result instanceof AdmissionResult.WaitUntil)) {
       pool(pool)
           .demand
@@ -68,17 +76,17 @@
               result instanceof AdmissionResult.Send,
               nowNanoseconds);
     }
-    return result;
   }
 
-  /** Returns the decision about a request without counting it. */
+  /** Returns the decision about a request. Changes nothing but the state of the random source. */
   public AdmissionResult explain(
       String pool,
       AdmissionRequest request,
       Candidate candidate,
       RandomGenerator random,
       long nowNanoseconds) {
-    Assessment assessment = assess(pool(pool), request, candidate, nowNanoseconds);
+    Pool known = Optional.ofNullable(pools.get(pool)).orElseGet(Pool::new);
+    Assessment assessment = assess(known, request, candidate, nowNanoseconds);
     return switch (assessment.cause()) {
       case UNKNOWN_WORK, IN_TIME, NO_SHORTAGE, SHORT_WAIT, FLOOR ->
           new AdmissionResult.Send(assessment);
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/CapacityGate.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/CapacityGate.java
@@ -28,28 +28,57 @@
     active = view.index().map(index -> index.configuration().hasLargeRequests()).orElse(false);
   }
 
-  /** Returns what to do instead of sending a request to the chosen server; empty to send it. */
-  Optional<NextStep> hold(
-      AdmittedRequest request, ServerChoice.Chosen chosen, long nowNanoseconds) {
+  /**
+   * The decision whether a request is sent to the chosen server, which is not recorded yet.
+   *
+   * @param pool the servers whose shortage is measured together with that of the server
+   * @param candidate the server as it is known
+   */
+  record Ruling(
+      String pool, AdmissionRequest description, Candidate candidate, AdmissionResult result) {
+    /** Returns what to do instead of sending the request; empty to send it. */
+    Optional<NextStep> hold() {
+      return switch (result) {
+        case AdmissionResult.Send unused -> Optional.empty();
+        case AdmissionResult.WaitUntil wait ->
+            Optional.of(new NextStep.Wait(wait.untilNanoseconds()));
+        case AdmissionResult.Reject reject ->
+            Optional.of(new NextStep.Reject(RejectionReason.NO_ROOM, reject.retryAfter()));
+      };
+    }
+  }
+
+  /** Returns the random source of the decisions that are recorded. */
+  RandomGenerator random() {
+    return random;
+  }
+
+  /**
+   * Decides whether a request is sent to the chosen server. Changes nothing but the state of the
+   * random source.
+   *
+   * @return empty if the gate does not decide about the request, so that it is sent
+   */
+  Optional<Ruling> rule(
+      AdmittedRequest request,
+      ServerChoice.Chosen chosen,
+      RandomGenerator randomSource,
+      long nowNanoseconds) {
     if (!active || request.mayHaveRun()) {
       return Optional.empty();
     }
+    String pool = pool(chosen.server());
+    AdmissionRequest description = describe(request, nowNanoseconds);
     Candidate candidate = candidate(request, chosen.server(), chosen.rank(), nowNanoseconds);
     AdmissionResult result =
-        admission.decide(
-            pool(chosen.server()),
-            describe(request, nowNanoseconds),
-            candidate,
-            random,
-            nowNanoseconds);
-    request.recordAssessment(result.assessment(), candidate);
-    return switch (result) {
-      case AdmissionResult.Send unused -> Optional.empty();
-      case AdmissionResult.WaitUntil wait ->
-          Optional.of(new NextStep.Wait(wait.untilNanoseconds()));
-      case AdmissionResult.Reject reject ->
-          Optional.of(new NextStep.Reject(RejectionReason.NO_ROOM, reject.retryAfter()));
-    };
+        admission.explain(pool, description, candidate, randomSource, nowNanoseconds);
+    return Optional.of(new Ruling(pool, description, candidate, result));
+  }
+
+  /** Records a decision at the request and as demand. */
+  void record(AdmittedRequest request, Ruling ruling, long nowNanoseconds) {
+    admission.record(ruling.pool(), ruling.description(), ruling.result(), nowNanoseconds);
+    request.recordAssessment(ruling.result().assessment(), ruling.candidate());
   }
 
   /** Records what the outcome of a send says of the load and of the work. */
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerChoice.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerChoice.java
@@ -73,9 +73,8 @@
       if (!candidate.usable()) {
         continue;
       }
-      double bodies = largeBody ? bodyLatencyRatio(candidate.server()) : 0;
       double latencyRatio =
-          expectedLatencyRatio(candidate, rank, region, sticky, nowNanoseconds) + bodies;
+          expectedLatencyRatio(candidate, rank, region, sticky, largeBody, nowNanoseconds);
       if (latencyRatio < bestLatencyRatio) {
         bestLatencyRatio = latencyRatio;
         best = Optional.of(new Chosen(candidate.server(), rank));
@@ -94,8 +93,14 @@
     return BODY_LATENCY_RATIO_PER_MEGABYTE * server.bodyBytesInProgress() / MEGABYTE;
   }
 
-  private static double expectedLatencyRatio(
-      Candidate candidate, int rank, String region, boolean sticky, long nowNanoseconds) {
+  /** Returns the expected latency of a request at a candidate, as a ratio to the usual latency. */
+  static double expectedLatencyRatio(
+      Candidate candidate,
+      int rank,
+      String region,
+      boolean sticky,
+      boolean largeBody,
+      long nowNanoseconds) {
     ServerState server = candidate.server();
     double work =
         sticky && !candidate.preferred()
@@ -107,8 +112,10 @@
     double spread = sticky ? 0 : load / slots;
     double latencyRatio = Math.max(1, server.latencyRatio(nowNanoseconds));
     double remote = server.region().equals(region) ? 0 : REMOTE_LATENCY_RATIO;
+    double bodies = largeBody ? bodyLatencyRatio(server) : 0;
     return (work + waiting + spread) * latencyRatio * server.speedRatio(nowNanoseconds)
         + FAILURE_LATENCY_RATIO * server.failureRatio(nowNanoseconds)
-        + remote;
+        + remote
+        + bodies;
   }
 }
