--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
@@ -116,7 +116,8 @@
                 new HttpAddress(self.host(), settings.metricsPort()),
                 descriptors.metrics(),
                 settings),
-            metrics);
+            metrics,
+            new ExplainEndpoint(self, director, time::monotonicNanoseconds));
     entryService =
         new EntryService(
             settings,
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerSearch.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerSearch.java
@@ -6,7 +6,8 @@
 
 /**
  * Searches the server for a request: first among the candidates of its object, then, where these
- * don't take it, among all servers that it may use. Not thread-safe.
+ * don't take it, among all servers that it may use. Records nothing, so that it also serves to
+ * explain a decision. Not thread-safe.
  */
 final class ServerSearch {
   /**
@@ -15,31 +16,98 @@
    */
   private static final int LARGE_BODIES_PER_SERVER = 2;
 
-  private final String region;
   private final ServerPool servers;
 
-  /** Which servers a search leaves out. */
+  ServerSearch(ServerPool servers) {
+    this.servers = servers;
+  }
+
+  /** Whether a request may be sent to a server, or the first reason why not. */
+  enum Verdict {
+    USABLE("it may get the request"),
+    EJECTED("requests to it were lost a short time ago"),
+    UNRESPONSIVE("its requests in progress have had no response for long"),
+    FULL("its queue is full"),
+    HOLDS_LARGE_BODIES("this instance has the allowed number of large bodies in progress there"),
+    CLOSED("it accepts no new requests"),
+    RETURNING("it returns from a pause and is filled slowly"),
+    TRIED("this request was sent to it before"),
+    COLD("it is cold, and this instance's share of its rate is used or belongs to others");
+
+    private final String reason;
+
+    Verdict(String reason) {
+      this.reason = reason;
+    }
+
+    String reason() {
+      return reason;
+    }
+  }
+
+  /** Which servers a search leaves out besides closed ones. */
   private enum Strictness {
     /** Servers that are failing, full, or hold the allowed number of large bodies. */
     SPREAD,
     /** Servers that are failing or full. */
     HEALTHY,
-    /** Only servers that are closed. */
+    /** No others. */
     LAST_RESORT
   }
 
+  /** Which servers were searched, and how strictly. */
+  enum Scope {
+    LARGE_BODY("usual candidates, with few large bodies in progress", Strictness.SPREAD),
+    LARGE_BODY_ALL_SERVERS(
+        "all servers of the service, as no usual candidate takes a large body", Strictness.SPREAD),
+    USUAL("usual candidates", Strictness.HEALTHY),
+    LAST_RESORT(
+        "usual candidates, also failing and full ones as no other is left", Strictness.LAST_RESORT),
+    ALL_SERVERS(
+        "all servers of the service, as the usual candidates accept no new requests",
+        Strictness.LAST_RESORT);
+
+    private final String description;
+    private final Strictness strictness;
+
+    Scope(String description, Strictness strictness) {
+      this.description = description;
+      this.strictness = strictness;
+    }
+
+    String description() {
+      return description;
+    }
+  }
+
   /**
-   * Creates a search.
+   * The result of a search.
    *
-   * @param region region of this instance
+   * @param chosen the best usable server
+   * @param candidates searched servers, the preferred one first
+   * @param verdicts one for each candidate
+   * @param sticky whether the request prefers servers that have handled its object
+   * @param largeBody whether the request prefers servers with fewer body bytes in progress
    */
-  ServerSearch(String region, ServerPool servers) {
-    this.region = region;
-    this.servers = servers;
+  record Result(
+      Optional<ServerChoice.Chosen> chosen,
+      List<ServerChoice.Candidate> candidates,
+      List<Verdict> verdicts,
+      Scope scope,
+      boolean sticky,
+      boolean largeBody) {
+    /** Returns whether no server may get the request. */
+    boolean isEmpty() {
+      return chosen.isEmpty();
+    }
   }
 
-  /** Returns the best server for a request; empty if none may get it. */
-  Optional<ServerChoice.Chosen> search(AdmittedRequest request, long nowNanoseconds) {
+  /**
+   * Searches the best server for a request.
+   *
+   * @param region region of the entry instance
+   */
+  Result search(AdmittedRequest request, String region, long nowNanoseconds) {
     boolean sticky = request.route().sticky() && request.attributes().affinityKey().isPresent();
     String affinityKey =
         sticky
@@ -47,61 +115,90 @@
             : request.attributes().identifier();
     Placement placement = servers.placement(request.service());
     long keyHash = Hashing.hash(affinityKey);
+    Pass pass = new Pass(request, region, sticky, nowNanoseconds);
     List<ServerState> candidates = placement.candidates(keyHash, region, request::allowsRegion);
-    Optional<ServerChoice.Chosen> best = Optional.empty();
     if (request.isLargeUpload()) {
-      best = best(request, candidates, sticky, Strictness.SPREAD, nowNanoseconds);
-      if (best.isEmpty()) {
+      Result result = pass.best(candidates, Scope.LARGE_BODY);
+      if (result.isEmpty()) {
         List<ServerState> all = placement.allCandidates(keyHash, region, request::allowsRegion);
-        best = best(request, all, sticky, Strictness.SPREAD, nowNanoseconds);
+        result = pass.best(all, Scope.LARGE_BODY_ALL_SERVERS);
+      }
+      if (!result.isEmpty()) {
+        return result;
       }
     }
-    if (best.isEmpty()) {
-      best = best(request, candidates, sticky, Strictness.HEALTHY, nowNanoseconds);
-    }
-    if (best.isEmpty()) {
-      best = best(request, candidates, sticky, Strictness.LAST_RESORT, nowNanoseconds);
+    Result result = pass.best(candidates, Scope.USUAL);
+    if (result.isEmpty()) {
+      result = pass.best(candidates, Scope.LAST_RESORT);
     }
     boolean closed =
-        best.isEmpty()
+        result.isEmpty()
             && candidates.stream().anyMatch(server -> server.condition(nowNanoseconds).isClosed());
     if (closed) {
       List<ServerState> all = placement.allCandidates(keyHash, region, request::allowsRegion);
-      best = best(request, all, sticky, Strictness.LAST_RESORT, nowNanoseconds);
+      result = pass.best(all, Scope.ALL_SERVERS);
     }
-    return best;
+    return result;
   }
 
-  private Optional<ServerChoice.Chosen> best(
-      AdmittedRequest request,
-      List<ServerState> rankedServers,
-      boolean sticky,
-      Strictness strictness,
-      long nowNanoseconds) {
-    List<ServerChoice.Candidate> candidates = new ArrayList<>();
-    for (int rank = 0; rank < rankedServers.size(); rank++) {
-      ServerState server = rankedServers.get(rank);
-      boolean usable =
-          isEligible(server, strictness, nowNanoseconds)
-              && !server.condition(nowNanoseconds).isClosed()
-              && server.takesMoreAfterPause(nowNanoseconds)
-              && !request.hasTried(server.registration().identifier())
-              && servers.isWithinColdRate(request.service(), server, nowNanoseconds);
-      candidates.add(new ServerChoice.Candidate(server, rank == 0, usable));
+  /** The evaluation of servers for one request at one time. */
+  private final class Pass {
+    private final AdmittedRequest request;
+    private final String region;
+    private final boolean sticky;
+    private final long nowNanoseconds;
+
+    Pass(AdmittedRequest request, String region, boolean sticky, long nowNanoseconds) {
+      this.request = request;
+      this.region = region;
+      this.sticky = sticky;
+      this.nowNanoseconds = nowNanoseconds;
     }
-    return ServerChoice.best(candidates, region, sticky, request.isLargeUpload(), nowNanoseconds);
-  }
 
-  private static boolean isEligible(
-      ServerState server, Strictness strictness, long nowNanoseconds) {
-    boolean healthy =
-        !server.isEjected(nowNanoseconds)
-            && !server.isUnresponsive(nowNanoseconds)
-            && !ServerChoice.isFull(server, nowNanoseconds);
-    return switch (strictness) {
-      case SPREAD -> healthy && server.largeBodyCount() < LARGE_BODIES_PER_SERVER;
-      case HEALTHY -> healthy;
-      case LAST_RESORT -> true;
-    };
+    Result best(List<ServerState> rankedServers, Scope scope) {
+      List<ServerChoice.Candidate> candidates = new ArrayList<>();
+      List<Verdict> verdicts = new ArrayList<>();
+      for (int rank = 0; rank < rankedServers.size(); rank++) {
+        ServerState server = rankedServers.get(rank);
+        Verdict verdict = verdict(server, scope.strictness);
+        verdicts.add(verdict);
+        candidates.add(new ServerChoice.Candidate(server, rank == 0, verdict == Verdict.USABLE));
+      }
+      boolean largeBody = request.isLargeUpload();
+      return new Result(
+          ServerChoice.best(candidates, region, sticky, largeBody, nowNanoseconds),
+          candidates,
+          verdicts,
+          scope,
+          sticky,
+          largeBody);
+    }
+
+    private Verdict verdict(ServerState server, Strictness strictness) {
+      if (strictness != Strictness.LAST_RESORT && server.isEjected(nowNanoseconds)) {
+        return Verdict.EJECTED;
+      }
+      if (strictness != Strictness.LAST_RESORT && server.isUnresponsive(nowNanoseconds)) {
+        return Verdict.UNRESPONSIVE;
+      }
+      if (strictness != Strictness.LAST_RESORT && ServerChoice.isFull(server, nowNanoseconds)) {
+        return Verdict.FULL;
+      }
+      if (strictness == Strictness.SPREAD && server.largeBodyCount() >= LARGE_BODIES_PER_SERVER) {
+        return Verdict.HOLDS_LARGE_BODIES;
+      }
+      if (server.condition(nowNanoseconds).isClosed()) {
+        return Verdict.CLOSED;
+      }
+      if (!server.takesMoreAfterPause(nowNanoseconds)) {
+        return Verdict.RETURNING;
+      }
+      if (request.hasTried(server.registration().identifier())) {
+        return Verdict.TRIED;
+      }
+      return servers.isWithinColdRate(request.service(), server, nowNanoseconds)
+          ? Verdict.USABLE
+          : Verdict.COLD;
+    }
   }
 }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerState.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerState.java
@@ -306,6 +306,11 @@
     return reportWeight(reportedNanoseconds, nowNanoseconds);
   }
 
+  private static double reportWeight(long heardNanoseconds, long nowNanoseconds) {
+    double age = nowNanoseconds - heardNanoseconds;
+    return Math.max(0, 1 - age / REPORT_LIFETIME_NANOSECONDS);
+  }
+
   /**
    * Returns how much longer than usual work takes on the server now, by its last report; 1 if it
    * reported no speed recently.
@@ -364,11 +369,6 @@
         : OptionalInt.empty();
   }
 
-  private static double reportWeight(long heardNanoseconds, long nowNanoseconds) {
-    double age = nowNanoseconds - heardNanoseconds;
-    return Math.max(0, 1 - age / REPORT_LIFETIME_NANOSECONDS);
-  }
-
   /** Returns the ratio of recent requests that failed. */
   public double failureRatio(long nowNanoseconds) {
     return failureRatio * decayFactor(nowNanoseconds);
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -6,6 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
 import org.corianderweir.model.traffic.CallerOrganisation;
 import org.corianderweir.model.traffic.FleetMember;
 import org.corianderweir.model.traffic.InstanceLocation;
@@ -50,7 +55,7 @@
     this.self = self;
     this.bounds = bounds;
     servers = new ServerPool(self, location);
-    search = new ServerSearch(self.region(), servers);
+    search = new ServerSearch(servers);
     capacity = new CapacityGate(self.name());
   }
 
@@ -116,73 +121,157 @@
 
   private Admission admit(
       RequestAttributes attributes, RouteMatch.Found match, long bodyBytes, long nowNanoseconds) {
+    Admission admission =
+        admit(
+            attributes,
+            match,
+            bodyBytes,
+            organisation ->
+                rateShares.computeIfAbsent(
+                    organisation.name(), unused -> newShare(organisation, nowNanoseconds)),
+            serviceRotation,
+            nowNanoseconds);
+    if (admission instanceof Admission.Admitted admitted) {
+      retryBudget(admitted.request().service()).recordRequest(nowNanoseconds);
+    }
+    return admission;
+  }
+
+  /**
+   * Decides whether a request with a route is admitted.
+   *
+   * @param shares returns the share of an organisation's rate limit, which is used
+   * @param rotation rotation of the services of a route, which moves on
+   */
+  private Admission admit(
+      RequestAttributes attributes,
+      RouteMatch.Found match,
+      long bodyBytes,
+      Function<CallerOrganisation, RateShare> shares,
+      SmoothWeightedRoundRobin rotation,
+      long nowNanoseconds) {
     TrafficRoute route = match.route();
-    Optional<CallerOrganisation> organisation = match.organisation();
     long deadlineNanoseconds = nowNanoseconds + attributes.nanosecondsToDeadline(route);
     if (isStoppingBefore(deadlineNanoseconds, nowNanoseconds)) {
       return new Admission.Rejected(RejectionReason.STOPPING, OTHER_INSTANCE_RETRY_AFTER);
     }
-    Optional<Admission.Rejected> overLimit =
-        organisation
-            .filter(CallerOrganisation::hasLimit)
-            .flatMap(limited -> checkRateLimit(limited, nowNanoseconds));
-    if (overLimit.isPresent()) {
-      return overLimit.get();
+    Optional<CallerOrganisation> limited = limited(match);
+    if (limited.isPresent()) {
+      RateShare share = shares.apply(limited.get());
+      Duration retryAfter = share.tryAcquire(limited.get(), instanceCount, nowNanoseconds);
+      if (!retryAfter.isZero()) {
+        return new Admission.Rejected(
+            RejectionReason.OVER_LIMIT, retryAfter, Optional.of(share.snapshot(limited.get())));
+      }
     }
-    String service = serviceRotation.next(route.name(), route.weightedServices());
-    retryBudget(service).recordRequest(nowNanoseconds);
     return new Admission.Admitted(
         new AdmittedRequest(
             attributes,
             route,
-            organisation,
-            service,
+            match.organisation(),
+            rotation.next(route.name(), route.weightedServices()),
             bodyBytes,
             nowNanoseconds,
             deadlineNanoseconds,
             match.index().configuration().version()));
   }
 
+  private static Optional<CallerOrganisation> limited(RouteMatch.Found match) {
+    return match.organisation().filter(CallerOrganisation::hasLimit);
+  }
+
+  private RateShare newShare(CallerOrganisation organisation, long nowNanoseconds) {
+    return new RateShare(organisation, bounds, instanceCount, nowNanoseconds);
+  }
+
+  /**
+   * Explains what would be done with a request now. Goes through the decisions that serve requests,
+   * with copies of what they count, so nothing is recorded or used up.
+   *
+   * @param region region from which the request is taken to arrive
+   */
+  public synchronized RequestExplanation explain(
+      RequestAttributes attributes, long bodyBytes, String region, long nowNanoseconds) {
+    long version = view.index().map(index -> index.configuration().version()).orElse(0L);
+    RequestExplainer explainer = new RequestExplainer(self.name(), region, version, nowNanoseconds);
+    return switch (match(attributes, bodyBytes)) {
+      case RouteMatch.None none -> explainer.unmatched(none.rejected());
+      case RouteMatch.Found found -> {
+        Optional<RateShare> share =
+            limited(found)
+                .map(
+                    organisation ->
+                        Optional.ofNullable(rateShares.get(organisation.name()))
+                            .map(RateShare::copy)
+                            .orElseGet(() -> newShare(organisation, nowNanoseconds)));
+        Admission admission =
+            admit(
+                attributes,
+                found,
+                bodyBytes,
+                unused -> share.orElseThrow(),
+                serviceRotation.copy(),
+                nowNanoseconds);
+        Optional<RateLimitSnapshot> limit =
+            share.flatMap(used -> found.organisation().map(used::snapshot));
+        yield switch (admission) {
+          case Admission.Rejected rejected -> explainer.rejected(found, limit, rejected);
+          case Admission.Admitted admitted -> {
+            // The time to return of a rejection is one that the decision could draw as well.
+            RandomGenerator random = new SplittableRandom(nowNanoseconds);
+            StepEvaluation evaluation =
+                evaluate(admitted.request(), region, random, nowNanoseconds);
+            yield explainer.admitted(found, limit, admitted.request(), evaluation);
+          }
+        };
+      }
+    };
+  }
+
   private RouteMatch match(RequestAttributes attributes, long bodyBytes) {
-    if (view.index().isEmpty()) {
-      return RouteMatch.none(RejectionReason.NOT_READY, DEFAULT_RETRY_AFTER);
-    }
-    TrafficIndex index = view.index().get();
-    Optional<TrafficRoute> route = index.route(attributes.host(), attributes.path());
-    if (route.isEmpty()) {
-      return RouteMatch.none(RejectionReason.NO_ROUTE, Duration.ZERO);
-    }
-    Optional<CallerOrganisation> organisation = attributes.accessKey().flatMap(index::organisation);
-    if (index.needsKeys() && !route.get().open() && organisation.isEmpty()) {
-      return RouteMatch.none(RejectionReason.KEY_UNKNOWN, Duration.ZERO);
-    }
-    if (bodyBytes > index.configuration().limits().maximumBodyBytes()) {
-      return RouteMatch.none(RejectionReason.BODY_TOO_LARGE, Duration.ZERO);
-    }
-    return new RouteMatch.Found(index, route.get(), organisation);
+    return view.index()
+        .map(index -> RouteMatch.of(index, attributes, bodyBytes))
+        .orElseGet(() -> RouteMatch.none(RejectionReason.NOT_READY, DEFAULT_RETRY_AFTER));
   }
 
   /** Chooses the server for the first send or a retry of a request. */
   public synchronized NextStep nextStep(AdmittedRequest request, long nowNanoseconds) {
+    StepEvaluation evaluation = evaluate(request, self.region(), capacity.random(), nowNanoseconds);
+    evaluation.ruling().ifPresent(ruling -> capacity.record(request, ruling, nowNanoseconds));
+    evaluation
+        .sentTo()
+        .ifPresent(
+            chosen -> {
+              ServerState server = chosen.server();
+              request.recordSend(server.registration().identifier(), chosen.rank());
+              server.recordSend(request.bodyBytes(), nowNanoseconds);
+            });
+    return evaluation.step();
+  }
+
+  /** Evaluates the next step of a request. Changes nothing but the state of the random source. */
+  private StepEvaluation evaluate(
+      AdmittedRequest request, String region, RandomGenerator random, long nowNanoseconds) {
     long timeLeft = request.deadlineNanoseconds() - nowNanoseconds;
     if (timeLeft < MINIMUM_SEND_TIME.toNanos()) {
-      return giveUp(request, RejectionReason.TOO_LATE);
+      return StepEvaluation.withoutSearch(giveUp(request, RejectionReason.TOO_LATE));
     }
     if (!request.mayHaveRun() && isStoppingBefore(request.deadlineNanoseconds(), nowNanoseconds)) {
-      return new NextStep.Reject(RejectionReason.STOPPING, OTHER_INSTANCE_RETRY_AFTER);
-    }
-    Optional<ServerChoice.Chosen> chosen = search.search(request, nowNanoseconds);
-    if (chosen.isEmpty()) {
-      return giveUpWithoutServer(request, nowNanoseconds);
+      return StepEvaluation.withoutSearch(
+          new NextStep.Reject(RejectionReason.STOPPING, OTHER_INSTANCE_RETRY_AFTER));
     }
-    Optional<NextStep> held = capacity.hold(request, chosen.get(), nowNanoseconds);
-    if (held.isPresent()) {
-      return held.get();
+    ServerSearch.Result found = search.search(request, region, nowNanoseconds);
+    if (found.chosen().isEmpty()) {
+      NextStep step = giveUpWithoutServer(request, nowNanoseconds);
+      return new StepEvaluation(step, Optional.of(found), Optional.empty());
     }
-    ServerState server = chosen.get().server();
-    request.recordSend(server.registration().identifier(), chosen.get().rank());
-    server.recordSend(request.bodyBytes(), nowNanoseconds);
-    return new NextStep.Send(server, Duration.ofNanos(timeLeft));
+    ServerChoice.Chosen chosen = found.chosen().get();
+    Optional<CapacityGate.Ruling> ruling = capacity.rule(request, chosen, random, nowNanoseconds);
+    NextStep step =
+        ruling
+            .flatMap(CapacityGate.Ruling::hold)
+            .orElseGet(() -> new NextStep.Send(chosen.server(), Duration.ofNanos(timeLeft)));
+    return new StepEvaluation(step, Optional.of(found), ruling);
   }
 
   /**
@@ -314,6 +403,14 @@
     return remaining.isEmpty() ? List.of(self) : MemberWeights.weigh(remaining, self);
   }
 
+  /** Returns the regions in which an entry instance or a server is known. */
+  public synchronized Set<String> regions() {
+    Set<String> regions = new TreeSet<>(servers.regions());
+    regions.add(self.region());
+    view.members().forEach(member -> regions.add(member.region()));
+    return regions;
+  }
+
   /** Returns the demand on this instance by organisation, in requests per second. */
   public synchronized Map<String, Double> demand(long nowNanoseconds) {
     Map<String, Double> demand = new HashMap<>();
@@ -405,19 +502,4 @@
   private RetryBudgetShare retryBudget(String service) {
     return retryBudgets.computeIfAbsent(service, unused -> new RetryBudgetShare(bounds));
   }
-
-  /** Admits a request within this instance's share of the rate limit, or returns a rejection. */
-  private Optional<Admission.Rejected> checkRateLimit(
-      CallerOrganisation organisation, long nowNanoseconds) {
-    RateShare share =
-        rateShares.computeIfAbsent(
-            organisation.name(),
-            unused -> new RateShare(organisation, bounds, instanceCount, nowNanoseconds));
-    Duration retryAfter = share.tryAcquire(organisation, instanceCount, nowNanoseconds);
-    return retryAfter.isZero()
-        ? Optional.empty()
-        : Optional.of(
-            new Admission.Rejected(
-                RejectionReason.OVER_LIMIT, retryAfter, Optional.of(share.snapshot(organisation))));
-  }
 }
