--- a/weirhttp/src/main/java/org/corianderweir/http/UnfinishedRequestFilter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/UnfinishedRequestFilter.java
@@ -1,6 +1,7 @@
 package org.corianderweir.http;
 
 import java.io.IOException;
+import org.glassfish.grizzly.Appendable;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -8,6 +9,8 @@
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
 
 /**
  * Passes a head to the codec when it is complete, and a chunk line when it has its end. Before that
@@ -46,7 +49,7 @@
   @Override
   public NextAction handleRead(FilterChainContext context) {
     InboundStream stream = STREAM.get(context.getConnection());
-    Buffer input = context.getMessage();
+    Buffer input = bytes(context.getMessage());
     stream.onBytes(System.nanoTime());
     int end = stream.advance(input);
     NextAction action =
@@ -68,7 +71,7 @@
     if (stream.isAtBoundary()) {
       stream.setRestCount(rest.remaining());
       return reserve(stream, 0)
-          ? context.getInvokeAction(InboundStream.copy(rest))
+          ? context.getInvokeAction(new Rest(InboundStream.copy(rest)))
           : context.getStopAction();
     }
     if (!reserve(stream, rest.remaining())) {
@@ -91,4 +94,28 @@
     return requests.reserve(
         stream, (long) stream.capacityFor(additionalCount) + stream.restCount());
   }
+
+  private static Buffer bytes(Object message) {
+    return message instanceof Rest rest ? rest.bytes : (Buffer) message;
+  }
+
+  /**
+   * What follows a head or a request, until the codec has used these. When the codec refuses a
+   * head, the chain keeps the rest and adds the next read to it, which it can't for a buffer.
+   */
+  private static final class Rest implements Appendable<Object> {
+    private Buffer bytes;
+
+    Rest(Buffer bytes) {
+      this.bytes = bytes;
+    }
+
+    @Override
+    public Object append(Object more) {
+      bytes =
+          Buffers.appendBuffers(
+              MemoryManager.DEFAULT_MEMORY_MANAGER, bytes, UnfinishedRequestFilter.bytes(more));
+      return this;
+    }
+  }
 }
