--- a/weirhttp/src/main/java/org/corianderweir/http/ReadAheadFilter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ReadAheadFilter.java
@@ -39,8 +39,7 @@
     Connection<?> connection = context.getConnection();
     CallerPipeline pipeline = CallerPipeline.of(connection);
     ReadAhead readAhead = pipeline.readAhead();
-    boolean mayParse = pipeline.mayParse();
-    if (!mayParse && readAhead.pauseIfFull()) {
+    if (!pipeline.mayParse() && readAhead.pauseIfFull()) {
       connection.disableIOEvent(IOEvent.READ);
       // Room that was made in between has not found the pause.
       pipeline.resumeReading();
@@ -48,7 +47,7 @@
     }
     pipeline.reader().resumeDeferred();
     SocketChannel channel = (SocketChannel) ((NIOConnection) connection).getChannel();
-    Optional<byte[]> bytes = readAhead.read(channel, readBuffer, mayParse);
+    Optional<byte[]> bytes = readAhead.read(channel, readBuffer);
     if (bytes.isEmpty()) {
       connection.terminateSilently();
       return context.getStopAction();
