--- a/weirlib/src/main/java/org/corianderweir/logic/admission/CapacityAdmission.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/admission/CapacityAdmission.java
@@ -23,7 +23,7 @@
 
   /**
    * Part of the target latency that a late request of the most urgent class may add as a wait. Each
-   * further class gets half as much. With a quarter, credit and served part together fell by 3%.
+   * further class gets half as much. A smaller part rejects requests that would soon be served.
    */
   private static final double MOST_URGENT_WAIT_RATIO = 2.0 / 3;
 
--- a/weirlib/src/main/java/org/corianderweir/logic/admission/ShortageMeter.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/admission/ShortageMeter.java
@@ -15,16 +15,10 @@
   /** With fewer recent reports, a few busy servers look like a shortage. */
   private static final double MINIMUM_REPORTS = 5;
 
-  /**
-   * Share of reports from servers without a free slot below which others have room. With 0.4 no
-   * request was rejected at a third of the capacity; with 0.6 the gain under load was smaller.
-   */
+  /** Share of reports from servers without a free slot below which other servers have room. */
   private static final double QUEUED_SHARE_THRESHOLD = 0.4;
 
-  /**
-   * Share of late answers that chance alone causes at servers with room. At 0.8 of the capacity, a
-   * trial lost 0.4% with 0.1 and either this or the wait, and 0.2% with 0.2 and both.
-   */
+  /** Share of late answers up to which chance alone can cause them at servers with room. */
   private static final double LATE_SHARE_THRESHOLD = 0.2;
 
   /** Part of the target latency below which waiting at servers makes few answers late. */
