--- a/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettingDeclarations.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettingDeclarations.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.corianderweir.http.HttpAddress;
 import org.corianderweir.logic.traffic.FleetBounds;
 import org.corianderweir.model.traffic.InstanceLocation;
@@ -103,15 +104,17 @@
           "limits",
           "processor-share",
           new SettingType.Decimal(0.01, 1),
-          "1",
-          "share of each processor core that the process gets");
+          environmentOr("WEIR_PROCESSOR_SHARE", "1"),
+          "share of each processor core that the process gets;"
+              + " WEIR_PROCESSOR_SHARE in the environment sets its default");
   private static final Setting<Integer> PROCESSOR_CORES =
       Setting.optional(
           "limits",
           "processor-cores",
           new SettingType.WholeNumber(1, 1_000),
-          "1",
-          "processor cores of the machine; callers are directed to instances by share times cores");
+          environmentOr("WEIR_PROCESSOR_CORES", "1"),
+          "processor cores of the machine; callers are directed to instances by share times cores;"
+              + " WEIR_PROCESSOR_CORES in the environment sets its default");
   private static final Setting<Double> UNFINISHED_MEMORY_RATIO =
       Setting.optional(
           "limits",
@@ -139,6 +142,14 @@
 
   private EntrySettingDeclarations() {}
 
+  /**
+   * Returns the value of an environment variable, or a default if it is not set. Used for what the
+   * platform knows of the machine, so that one settings file serves machines of different size.
+   */
+  private static String environmentOr(String variable, String defaultText) {
+    return Optional.ofNullable(System.getenv(variable)).orElse(defaultText);
+  }
+
   /** Returns all declarations in the order of docs/SETTINGS.md. */
   public static List<Setting<?>> all() {
     return List.of(
