The test of shared reports has a route for large requests

Cause: reports without a speed are shared only while the configuration has such a route, so that other deployments are served as before.

Change: the test writes a configuration in which one route is of the kind upload; what it asserts is the same.

--- a/weirbench/src/test/java/org/corianderweir/bench/metadata/SharedReportsOfEntryInstancesTest.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/metadata/SharedReportsOfEntryInstancesTest.java
@@ -29,6 +29,10 @@
     try (EntryInstanceFixture fixture = new EntryInstanceFixture(new SystemTimeSource());
         EntryInstanceFixture.Newcomer newcomer = fixture.startAnother()) {
       newcomer.awaitReady();
+      // Loads without a speed are shared only while a route has large requests.
+      fixture
+          .store()
+          .put("op/config", StoreValues.configuration(2, 1_000).replace("unsafe", "upload"));
       List<EntrySettings> instances = List.of(fixture.settings(), newcomer.settings());
       for (int round = 0; round < ROUND_COUNT && !allApplied(fixture, instances); round++) {
         for (EntrySettings instance : instances) {
