The fleet view says whether a route has large requests

Cause: the gate of admission and the sharing of reports each asked the configuration for it in the same words.

Change: FleetView.hasLargeRequests; behaviour stays.

--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/CapacityGate.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/CapacityGate.java
@@ -25,7 +25,7 @@
 
   /** Decides about requests only while the configuration has routes for large requests. */
   void apply(FleetView view) {
-    active = view.index().map(index -> index.configuration().hasLargeRequests()).orElse(false);
+    active = view.hasLargeRequests();
   }
 
   /**
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/FleetView.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/FleetView.java
@@ -39,4 +39,9 @@
     evacuatedZones = Set.copyOf(evacuatedZones);
     members = List.copyOf(members);
   }
+
+  /** Returns whether the configuration has a route with large requests or responses. */
+  boolean hasLargeRequests() {
+    return index.map(present -> present.configuration().hasLargeRequests()).orElse(false);
+  }
 }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
@@ -120,9 +120,7 @@
 
   /** Returns the reports that this instance has heard since the last call and shares. */
   List<SharedServerReport> takeReports(long nowNanoseconds) {
-    boolean loadsShared =
-        view.index().map(index -> index.configuration().hasLargeRequests()).orElse(false);
-    return outbox.take(servers.size(), loadsShared, nowNanoseconds);
+    return outbox.take(servers.size(), view.hasLargeRequests(), nowNanoseconds);
   }
 
   /**
