Move members, outages and unreadable items out of the two largest classes

The choice of members for a look-up belongs to MemberWeights; the state of an outage of the store, the log of unreadable items and the interface for updates have classes of their own. No change of behaviour.

--- a/weirbench/src/main/java/org/corianderweir/bench/relay/SimulatedInstance.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/relay/SimulatedInstance.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.corianderweir.daemon.control.EventLog;
+import org.corianderweir.daemon.entry.StoreUpdates;
 import org.corianderweir.daemon.entry.StoreWatcher;
 import org.corianderweir.kernel.TaskScheduler;
 import org.corianderweir.kernel.TimeSource;
@@ -26,8 +27,7 @@
 import org.corianderweir.model.traffic.ServerRegistration;
 
 /** An entry instance in a simulation: the daemon's watcher of the store, its clock and network. */
-final class SimulatedInstance
-    implements TaskScheduler, TimeSource, MetadataStore, StoreWatcher.Updates {
+final class SimulatedInstance implements TaskScheduler, TimeSource, MetadataStore, StoreUpdates {
   private static final Duration LEASE_GRACE_PERIOD = Duration.ofMillis(2_300);
   private static final long LIST_TIMEOUT_NANOSECONDS = Duration.ofMillis(1_500).toNanos();
   private static final long WATCH_MARGIN_NANOSECONDS = Duration.ofMillis(600).toNanos();
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreRelay.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreRelay.java
@@ -16,7 +16,7 @@
  * Carries updates of the store between the entry instances of an availability zone. Runs on the
  * control thread.
  */
-final class StoreRelay implements StoreWatcher.Updates {
+final class StoreRelay implements StoreUpdates {
   private final FleetMember self;
   private final PeerTransport transport;
   private Map<String, EntryInstance> zonePeers = Map.of();
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreWatcher.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreWatcher.java
@@ -21,7 +21,6 @@
 import org.corianderweir.logic.traffic.FleetFacts;
 import org.corianderweir.logic.traffic.FleetView;
 import org.corianderweir.model.FailureDescription;
-import org.corianderweir.model.WeirException;
 import org.corianderweir.model.store.StoreChange;
 import org.corianderweir.model.store.StoreItem;
 import org.corianderweir.model.store.StorePage;
@@ -53,8 +52,8 @@
   private static final RelayTiming RELAY_TIMING =
       new RelayTiming(Duration.ofMillis(1_100), Duration.ofMillis(100), Duration.ofMillis(2_200));
 
-  private static final Duration INITIAL_RETRY_DELAY = Duration.ofMillis(200);
-  private static final Duration MAXIMUM_RETRY_DELAY = Duration.ofMillis(400);
+  /** Delay before the store is listed again after an answer that could not be applied. */
+  private static final Duration LISTING_DELAY = Duration.ofMillis(400);
 
   /** Age of the view from which a watch begins with a confirmation. */
   private static final Duration CONFIRMATION_NEED_AGE = Duration.ofMillis(800);
@@ -62,12 +61,6 @@
   /** Shortest time between two decisions whether to watch. */
   private static final Duration MINIMUM_CHECK_DELAY = Duration.ofMillis(50);
 
-  /** Deputies after this one retry as rarely as it does while the store does not answer. */
-  private static final int LARGEST_RETRY_RANK = 4;
-
-  /** Lines about unreadable items for one answer of the store. */
-  private static final int UNREADABLE_LINE_LIMIT = 10;
-
   /** In a shorter outage, leases do not expire. */
   private static final Duration MINIMUM_LEASE_EXPIRY_OUTAGE = Duration.ofMillis(1_000);
 
@@ -79,9 +72,9 @@
   private final FleetFacts facts;
   private final Consumer<FleetView> listener;
   private final StoreFollower follower;
-  private Optional<Updates> updates = Optional.empty();
-  private Duration retryDelay = INITIAL_RETRY_DELAY;
-  private Optional<Long> outageStartNanoseconds = Optional.empty();
+  private final StoreOutage outage;
+  private final UnreadableItemLog unreadableItems;
+  private Optional<StoreUpdates> updates = Optional.empty();
   private boolean listed;
   private boolean listingNeeded;
 
@@ -95,21 +88,6 @@
   private volatile WatchDecision decision = WatchDecision.FOLLOW;
   private boolean stopped;
 
-  /** Sends updates of the store to other entry instances of the availability zone. */
-  public interface Updates {
-    /** Sends an update to all other instances of the zone. */
-    void sendToZone(StoreUpdate update);
-
-    /** Sends an update to one instance. */
-    void send(String instance, StoreUpdate update);
-
-    /** Sends a part of a snapshot to one instance. */
-    void send(String instance, StoreSnapshotPart part);
-
-    /** Requests the changes after a revision from an instance. */
-    void requestChanges(String instance, long afterRevision);
-  }
-
   /**
    * Creates a watcher that has not read the store yet.
    *
@@ -134,6 +112,8 @@
     this.facts = facts;
     this.listener = listener;
     follower = new StoreFollower(self.name(), self.zone(), RELAY_TIMING);
+    outage = new StoreOutage(events);
+    unreadableItems = new UnreadableItemLog(events);
   }
 
   /** Begins to follow the store. */
@@ -147,7 +127,7 @@
   }
 
   /** Exchanges updates with other instances from now on. */
-  public void connect(Updates connected) {
+  public void connect(StoreUpdates connected) {
     updates = Optional.of(connected);
   }
 
@@ -185,14 +165,14 @@
         recordRecovery(replace.recoveredAge(), now);
         perform(
             () -> {
-              reportUnreadable(facts.replaceAll(replace.items(), replace.revision(), now));
+              unreadableItems.record(facts.replaceAll(replace.items(), replace.revision(), now));
               publish();
             },
             this::needListing);
       }
     }
-    if (outageStartNanoseconds.isPresent() && !follower.timeUntilWatch(now).isZero()) {
-      endOutage(now, sender);
+    if (outage.isPresent() && !follower.timeUntilWatch(now).isZero()) {
+      outage.end(sender, now);
     }
     if (waitingAsFollower && !inTouch) {
       scheduleDecision(follower.timeUntilWatch(now));
@@ -213,7 +193,7 @@
     if (!listed || updates.isEmpty()) {
       return;
     }
-    Updates to = updates.get();
+    StoreUpdates to = updates.get();
     long now = time.monotonicNanoseconds();
     Optional<StoreUpdate> changes = follower.changesAfter(afterRevision, now);
     if (changes.isPresent()) {
@@ -243,7 +223,7 @@
       return;
     }
     long now = time.monotonicNanoseconds();
-    reportUnreadable(facts.replaceAll(itemsByKey.values(), firstRevision, now));
+    unreadableItems.record(facts.replaceAll(itemsByKey.values(), firstRevision, now));
     follower.listed(firstRevision, now);
     listed = true;
     incomplete = listingNeeded;
@@ -268,8 +248,7 @@
       scheduleHeartbeat();
       // The store answers at once, so that the other instances soon see that this one is in touch.
       boolean unconfirmed =
-          outageStartNanoseconds.isPresent()
-              || follower.age(now).compareTo(CONFIRMATION_NEED_AGE) > 0;
+          outage.isPresent() || follower.age(now).compareTo(CONFIRMATION_NEED_AGE) > 0;
       watch(unconfirmed ? Duration.ZERO : WATCH_TIMEOUT);
     } else {
       Duration delay = follower.timeUntilWatch(now);
@@ -356,7 +335,7 @@
   }
 
   private void applyChanges(List<StoreChange> changes, long now) {
-    reportUnreadable(facts.apply(changes, now));
+    unreadableItems.record(facts.apply(changes, now));
     publish();
   }
 
@@ -381,7 +360,7 @@
                 () -> handler.accept(result),
                 () -> {
                   incomplete = true;
-                  controlExecutor.schedule(MAXIMUM_RETRY_DELAY, this::list);
+                  controlExecutor.schedule(LISTING_DELAY, this::list);
                 });
           }
         },
@@ -400,53 +379,26 @@
   }
 
   private void recordSuccess() {
-    retryDelay = INITIAL_RETRY_DELAY;
-    if (outageStartNanoseconds.isPresent()) {
+    outage.resetRetryDelay();
+    if (outage.isPresent()) {
       long now = time.monotonicNanoseconds();
-      Duration outage = endOutage(now, "store");
-      if (outage.compareTo(MINIMUM_LEASE_EXPIRY_OUTAGE) >= 0) {
+      Duration lasted = outage.end("store", now);
+      if (lasted.compareTo(MINIMUM_LEASE_EXPIRY_OUTAGE) >= 0) {
         facts.storeRecovered(now);
         follower.storeRecovered(now);
       }
     }
   }
 
-  /** Ends the outage of the store and returns how long it lasted. */
-  private Duration endOutage(long now, String source) {
-    Duration outage = Duration.ofNanos(now - outageStartNanoseconds.orElse(now));
-    outageStartNanoseconds = Optional.empty();
-    retryDelay = INITIAL_RETRY_DELAY;
-    events.record(
-        EventCode.PLATFORM_FOUND,
-        "store",
-        "outage=%d source=%s".formatted(outage.toMillis(), source));
-    return outage;
-  }
-
   private void retryAfterFailure(Throwable failure, Runnable operation) {
     follower.storeLost();
-    if (outageStartNanoseconds.isEmpty()) {
+    if (!outage.isPresent()) {
       long now = time.monotonicNanoseconds();
       sendToZone(follower.heartbeat(now), now);
-      outageStartNanoseconds = Optional.of(now);
-      Throwable cause = WeirException.unwrap(failure);
-      events.record(EventCode.PLATFORM_LOST, "store", "cause=" + cause.getMessage());
+      outage.begin(failure, now);
     }
     if (!stopped) {
-      int rank = Math.min(LARGEST_RETRY_RANK, follower.rank());
-      controlExecutor.schedule(retryDelay.multipliedBy(1 + rank), operation);
-      Duration doubled = retryDelay.multipliedBy(2);
-      retryDelay = doubled.compareTo(MAXIMUM_RETRY_DELAY) < 0 ? doubled : MAXIMUM_RETRY_DELAY;
-    }
-  }
-
-  private void reportUnreadable(List<String> unreadable) {
-    unreadable.stream()
-        .limit(UNREADABLE_LINE_LIMIT)
-        .forEach(reason -> events.record(EventCode.CONFIGURATION_UNREADABLE, "store", reason));
-    if (unreadable.size() > UNREADABLE_LINE_LIMIT) {
-      int omitted = unreadable.size() - UNREADABLE_LINE_LIMIT;
-      events.record(EventCode.CONFIGURATION_UNREADABLE, "store", "omitted=" + omitted);
+      controlExecutor.schedule(outage.nextRetryDelay(follower.rank()), operation);
     }
   }
 }
--- a/weirdaemon/src/test/java/org/corianderweir/daemon/entry/StoreWatcherTest.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/entry/StoreWatcherTest.java
@@ -231,8 +231,7 @@
   }
 
   /** An instance with its clock, its way to the store and its link to the other instance. */
-  private final class Instance
-      implements TaskScheduler, TimeSource, MetadataStore, StoreWatcher.Updates {
+  private final class Instance implements TaskScheduler, TimeSource, MetadataStore, StoreUpdates {
     private final FleetMember member;
     private final StoreWatcher watcher;
     private Optional<Instance> peer = Optional.empty();
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/MemberWeights.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/MemberWeights.java
@@ -19,6 +19,25 @@
 
   private MemberWeights() {}
 
+  /**
+   * Returns the members that callers in a region should use: those of the region, or all if it has
+   * none, weighted by capacity. Returns only the answering instance if none is left.
+   *
+   * @param self the answering instance
+   * @param stopping whether it is shutting down and is left out
+   */
+  static List<FleetMember> choose(
+      List<FleetMember> members, FleetMember self, String region, boolean stopping) {
+    List<FleetMember> inRegion =
+        members.stream().filter(member -> member.region().equals(region)).toList();
+    List<FleetMember> eligible = inRegion.isEmpty() ? members : inRegion;
+    List<FleetMember> remaining =
+        eligible.stream()
+            .filter(member -> !stopping || !member.name().equals(self.name()))
+            .toList();
+    return remaining.isEmpty() ? List.of(self) : weigh(remaining, self);
+  }
+
   /**
    * Returns the members with repetitions in proportion to their capacity, at most {@link #LIMIT}
    * names. Each member is named at least once; if there are more members, each answering instance
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -387,20 +387,12 @@
 
   /**
    * Returns the entry instances that callers in a region should use, of which they pick one at
-   * random: those of the region, or all if it has none, weighted by {@link MemberWeights}. Returns
-   * only this instance if none is left.
+   * random (see {@link MemberWeights}).
    *
    * @param stopping whether this instance is shutting down and is left out
    */
   public synchronized List<FleetMember> membersFor(String region, boolean stopping) {
-    List<FleetMember> inRegion =
-        view.members().stream().filter(member -> member.region().equals(region)).toList();
-    List<FleetMember> eligible = inRegion.isEmpty() ? view.members() : inRegion;
-    List<FleetMember> remaining =
-        eligible.stream()
-            .filter(member -> !stopping || !member.name().equals(self.name()))
-            .toList();
-    return remaining.isEmpty() ? List.of(self) : MemberWeights.weigh(remaining, self);
+    return MemberWeights.choose(view.members(), self, region, stopping);
   }
 
   /** Returns the regions in which an entry instance or a server is known. */
