--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -230,6 +230,7 @@
             Map.entry("relays", new RelaysCommand()),
             Map.entry("soak", new SoakCommand()),
             Map.entry("bodies", new BodiesCommand()),
+            Map.entry("clients", new ClientsCommand()),
             Map.entry("training", new TrainingCommand()));
     JCommander commander = JCommander.newBuilder().programName("weirbench").build();
     commands.forEach(commander::addCommand);
--- a/weirbench/src/test/java/org/corianderweir/bench/metadata/UncontrolledClients.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/clients/UncontrolledClients.java
@@ -1,4 +1,4 @@
-package org.corianderweir.bench.metadata;
+package org.corianderweir.bench.clients;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -9,7 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import org.corianderweir.bench.metadata.UncontrolledCrowd.Target;
+import org.corianderweir.bench.clients.UncontrolledCrowd.Target;
 import org.corianderweir.http.HttpAddress;
 
 /**
@@ -17,7 +17,7 @@
  * connection is closed while it sends comes again on a new one. None of them reads a response.
  * Closing it closes all connections.
  */
-final class UncontrolledClients implements AutoCloseable {
+public final class UncontrolledClients implements AutoCloseable {
   /** More than the connections that the instance accepts with the descriptors of the test. */
   private static final int CLIENTS_PER_TARGET = 600;
 
@@ -33,14 +33,15 @@
   private final List<Thread> threads = new ArrayList<>();
   private volatile boolean sending = true;
 
-  UncontrolledClients(UncontrolledCrowd crowd, HttpAddress callers, List<Target> targets) {
+  /** Creates the clients without letting them connect. */
+  public UncontrolledClients(UncontrolledCrowd crowd, HttpAddress callers, List<Target> targets) {
     this.crowd = crowd;
     this.callers = callers;
     this.targets = targets;
   }
 
   /** Lets all clients send for a time; afterwards they only keep their connections open. */
-  void run() throws InterruptedException {
+  public void run() throws InterruptedException {
     for (int client = 0; client < CLIENTS_PER_TARGET; client++) {
       for (Target target : targets) {
         int number = client;
--- a/weirbench/src/test/java/org/corianderweir/bench/metadata/UncontrolledCrowd.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/clients/UncontrolledCrowd.java
@@ -1,15 +1,16 @@
-package org.corianderweir.bench.metadata;
+package org.corianderweir.bench.clients;
 
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.corianderweir.http.HttpAddress;
 
 /** The groups of clients of docs/design/hard-load.md. Each client sends the same bytes. */
-enum UncontrolledCrowd {
+public enum UncontrolledCrowd {
   /** Large bodies of legal size, sent whole; most stop just short of their end. */
   LARGE_BODIES {
     @Override
@@ -122,13 +123,16 @@
   }
 
   /** The interfaces of an entry instance, with the offset of their port in the settings. */
-  enum Target {
+  public enum Target {
     REQUESTS(0, "/read/x"),
     READINESS(1, "/api/readiness"),
     LOOK_UPS(2, "/api/resolve?name=rota.example&region=north&zone=north-a"),
     PEERS(3, "/"),
     METRICS(4, "/metrics");
 
+    /** The interfaces besides the one for requests. */
+    public static final List<Target> OTHERS = List.of(READINESS, LOOK_UPS, PEERS, METRICS);
+
     private final int portOffset;
     private final String path;
 
