--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -280,14 +280,14 @@
     return server.condition(nowNanoseconds);
   }
 
-  /** Returns the number of servers by the label of their condition. */
-  public synchronized Map<String, Integer> conditionCounts(long nowNanoseconds) {
-    return servers.conditionCounts(nowNanoseconds);
+  /** Returns the number of servers by the labels of their condition and of their speed. */
+  public synchronized Map<String, Integer> serverCounts(long nowNanoseconds) {
+    return servers.counts(nowNanoseconds);
   }
 
-  /** Returns the number of servers by the label of the speed that they reported. */
-  public synchronized Map<String, Integer> speedCounts(long nowNanoseconds) {
-    return servers.speedCounts(nowNanoseconds);
+  /** Returns the mean of {@link LocalPlacementShare#additional} over the services. */
+  public synchronized double additionalLocalRatio() {
+    return servers.additionalLocalRatio();
   }
 
   /** Returns the number of body bytes that this instance has in progress at all servers. */
@@ -380,20 +380,12 @@
 
   /**
    * Returns the entry instances that callers in a region should use, of which they pick one at
-   * random: those of the region, or all if it has none, weighted by {@link MemberWeights}. Returns
-   * only this instance if none is left.
+   * random (see {@link MemberWeights}).
    *
    * @param stopping whether this instance is shutting down and is left out
    */
   public synchronized List<FleetMember> membersFor(String region, boolean stopping) {
-    List<FleetMember> inRegion =
-        view.members().stream().filter(member -> member.region().equals(region)).toList();
-    List<FleetMember> eligible = inRegion.isEmpty() ? view.members() : inRegion;
-    List<FleetMember> remaining =
-        eligible.stream()
-            .filter(member -> !stopping || !member.name().equals(self.name()))
-            .toList();
-    return remaining.isEmpty() ? List.of(self) : MemberWeights.weigh(remaining, self);
+    return MemberWeights.choose(view.members(), self, region, stopping);
   }
 
   /** Returns the regions in which an entry instance or a server is known. */
