Soak: the requests of the two customers

Cause: the callers of the soak sent one small request at a time, while the customers of docs/design/hard-load.md pipeline safe requests and send and fetch large bodies.

Change: callers also send up to 8 pipelined safe requests, uploads up to 360 kB and exports up to 540 kB; half of the exports are read slowly. Bodies differ between requests, so an answer that belongs to another one is seen. Servers report a speed that changes four times a second. An organisation with a small rate limit is added, and two checks: its limit holds, and a request behind an answer that closes the connection does not run. The result counts requests that were cut without a disturbance.

SoakCallerTest sends single requests, since its server answers one request on a connection; what it checks stays.

--- a/weirbench/src/main/java/org/corianderweir/bench/SoakCommand.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/SoakCommand.java
@@ -35,6 +35,9 @@
   @Parameter(names = "--notices", description = "servers also leave and ask for pauses")
   private boolean serverNotices;
 
+  @Parameter(names = "--single-requests", description = "callers send small requests one by one")
+  private boolean singleRequests;
+
   @Parameter(names = "--first-port", description = "first TCP port that is used")
   private int firstPort = 21_000;
 
@@ -52,6 +55,7 @@
               .firstPort(firstPort)
               .storeLinkFaults(storeLinkFaults)
               .serverNotices(serverNotices)
+              .singleRequests(singleRequests)
               .build();
       if (!keepsPromises(options)) {
         broken.add(next);
--- a/weirbench/src/main/java/org/corianderweir/bench/metadata/StoreValues.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/metadata/StoreValues.java
@@ -24,6 +24,30 @@
         .formatted(version, requestsPerSecond, requestsPerSecond);
   }
 
+  /**
+   * Returns a configuration with the kinds of requests of the customers with large requests. In
+   * addition to {@link #configuration} it has the routes {@code /upload/} and {@code /export/}, and
+   * an organisation with the key {@code key-2} and a limit of its own.
+   *
+   * @param limitPerSecond rate limit in requests a second, and burst in requests, of the added
+   *     organisation
+   */
+  public static String largeRequestConfiguration(
+      long version, double requestsPerSecond, int limitPerSecond) {
+    String added =
+        """
+        ["upload","rota.example","/upload/","upload",2000,1200,2,null,2,false,true,[],"desk"],
+        ["export","rota.example","/export/","download",2000,1200,2,null,2,false,true,[],"desk"],
+        ["read",\
+        """;
+    return configuration(version, requestsPerSecond)
+        .replace("[\"read\",", added)
+        .replace(
+            "[[\"club\",",
+            "[[\"guests\",[\"key-2\"],1,%d,%d,[]],[\"club\","
+                .formatted(limitPerSecond, limitPerSecond));
+  }
+
   /** Returns the entry of a backend server of the service {@code desk}. */
   public static String server(String address, String zone, String state) {
     return """
--- a/weirbench/src/main/java/org/corianderweir/bench/soak/SoakEvidence.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/soak/SoakEvidence.java
@@ -22,16 +22,29 @@
    * A request of a caller.
    *
    * @param idempotent whether it may run more than once
+   * @param limited whether it belongs to the organisation with a small rate limit
    * @param sentNanoseconds monotonic time at which it was sent
    * @param endedNanoseconds monotonic time at which the caller had its answer or left
    */
   record Call(
       String request,
       boolean idempotent,
+      boolean limited,
       int instance,
       long sentNanoseconds,
       long endedNanoseconds,
-      Ending ending) {}
+      Ending ending) {
+    /** Creates a request of the organisation whose rate limit is not reached. */
+    Call(
+        String request,
+        boolean idempotent,
+        int instance,
+        long sentNanoseconds,
+        long endedNanoseconds,
+        Ending ending) {
+      this(request, idempotent, false, instance, sentNanoseconds, endedNanoseconds, ending);
+    }
+  }
 
   /** How a request ended for its caller. */
   sealed interface Ending {
@@ -44,6 +57,9 @@
     /** The connection could not be opened. */
     record Unreachable() implements Ending {}
 
+    /** The connection ended with the answer to an earlier request, which announced it. */
+    record Unread() implements Ending {}
+
     /** The connection ended before the answer was complete. */
     record Cut() implements Ending {}
   }
--- a/weirbench/src/main/java/org/corianderweir/bench/soak/SoakObserver.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/soak/SoakObserver.java
@@ -29,6 +29,7 @@
   private final List<Call> calls;
   private final List<Disturbance> disturbances;
   private final NoticeObserver notices;
+  private final LimitObserver limit;
 
   /** A broken promise and what shows it. */
   record Violation(String promise, String evidence) {}
@@ -37,6 +38,7 @@
     calls = evidence.calls();
     disturbances = evidence.disturbances();
     notices = new NoticeObserver(evidence);
+    limit = new LimitObserver(evidence);
     for (Run run : evidence.runs()) {
       runsByRequest.computeIfAbsent(run.request(), unused -> new ArrayList<>()).add(run);
     }
@@ -74,6 +76,11 @@
             violations.add(new Violation("a planned stop cuts no request", describe(call)));
           }
         }
+        case Ending.Unread unused -> {
+          if (runCount > 0) {
+            violations.add(new Violation("an unread request does not run", describe(call)));
+          }
+        }
         case Ending.Unreachable unused -> {}
       }
     }
@@ -81,6 +88,7 @@
       violations.addAll(lateRuns);
     }
     violations.addAll(notices.violations());
+    violations.addAll(limit.violations());
     if (servedRatio(calmNanoseconds) < CALM_SERVED_RATIO) {
       violations.add(
           new Violation("requests are served again", "ratio " + servedRatio(calmNanoseconds)));
@@ -88,11 +96,15 @@
     return violations;
   }
 
-  /** Returns the ratio of the requests sent from a time on that were answered with success. */
+  /**
+   * Returns the ratio of the requests sent from a time on that were answered with success. Requests
+   * with a small rate limit and those that the caller gave up are left out.
+   */
   double servedRatio(long fromNanoseconds) {
     List<Call> calm =
         calls.stream()
             .filter(call -> call.sentNanoseconds() - fromNanoseconds > 0)
+            .filter(call -> !call.limited())
             .filter(call -> !(call.ending() instanceof Ending.Left))
             .toList();
     long served =
@@ -149,6 +161,13 @@
     return duringPlannedStop && !excused;
   }
 
+  /** Returns whether a request was cut although nothing was done to its instance. */
+  boolean isCutWithoutDisturbance(Call call) {
+    return call.ending() instanceof Ending.Cut
+        && disturbances.stream()
+            .noneMatch(disturbance -> overlaps(disturbance, call, DISTURBANCE_GRACE.toNanos()));
+  }
+
   private static boolean overlaps(Disturbance disturbance, Call call, long graceNanoseconds) {
     return disturbance.instance() == call.instance()
         && call.endedNanoseconds() - disturbance.fromNanoseconds() >= 0
--- a/weirbench/src/main/java/org/corianderweir/bench/soak/SoakOptions.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/soak/SoakOptions.java
@@ -14,6 +14,7 @@
  * @param firstPort first TCP port that is used
  * @param storeLinkFaults whether links to the store are cut, in addition to the other faults
  * @param serverNotices whether servers say that they leave and ask for pauses, in addition
+ * @param singleRequests whether callers send only small requests, one at a time
  */
 public record SoakOptions(
     long seed,
@@ -24,7 +25,8 @@
     int callerCount,
     int firstPort,
     boolean storeLinkFaults,
-    boolean serverNotices) {
+    boolean serverNotices,
+    boolean singleRequests) {
   /** Returns a builder with the sizes of a short run. */
   public static Builder builder(long seed) {
     return new Builder(seed);
@@ -41,6 +43,7 @@
     private int firstPort = 21_000;
     private boolean storeLinkFaults;
     private boolean serverNotices;
+    private boolean singleRequests;
 
     private Builder(long seed) {
       this.seed = seed;
@@ -84,6 +87,12 @@
       return this;
     }
 
+    /** Sets whether callers send only small requests, one at a time. */
+    public Builder singleRequests(boolean enabled) {
+      singleRequests = enabled;
+      return this;
+    }
+
     /** Returns the options. */
     public SoakOptions build() {
       return new SoakOptions(
@@ -95,7 +104,8 @@
           callerCount,
           firstPort,
           storeLinkFaults,
-          serverNotices);
+          serverNotices,
+          singleRequests);
     }
   }
 }
--- a/weirbench/src/main/java/org/corianderweir/bench/soak/SoakRun.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/soak/SoakRun.java
@@ -107,13 +107,14 @@
   }
 
   private void startServers() {
-    store.put("op/config", StoreValues.configuration(configurationVersion, REQUESTS_PER_SECOND));
+    store.put("op/config", configuration());
     network.start();
     network.add(
         RelayTarget.unlimited(
             storeRelayAddress(), new HttpAddress(HOST, store.port()), STORE_ZONE));
     for (int number = 0; number < options.serverCount(); number++) {
-      SoakServer server = new SoakServer("server-" + number, HOST, evidence);
+      long serverSeed = options.seed() * options.serverCount() + number;
+      SoakServer server = new SoakServer("server-" + number, HOST, evidence, serverSeed);
       server.start();
       servers.add(server);
       network.add(
@@ -250,10 +251,16 @@
 
   private synchronized void changeConfiguration() {
     configurationVersion++;
-    store.put("op/config", StoreValues.configuration(configurationVersion, REQUESTS_PER_SECOND));
+    store.put("op/config", configuration());
+  }
+
+  private String configuration() {
+    return StoreValues.largeRequestConfiguration(
+        configurationVersion, REQUESTS_PER_SECOND, LimitObserver.REQUESTS_PER_SECOND);
   }
 
   private Result result(FaultPlan plan, long calmNanoseconds) {
+    SoakObserver observer = new SoakObserver(evidence);
     Map<String, Integer> callsByEnding = new TreeMap<>();
     for (SoakEvidence.Call call : evidence.calls()) {
       String ending =
@@ -261,12 +268,14 @@
               ? "status " + answered.status()
               : call.ending().getClass().getSimpleName();
       callsByEnding.merge(ending, 1, Integer::sum);
+      if (observer.isCutWithoutDisturbance(call)) {
+        callsByEnding.merge("Cut without a disturbance", 1, Integer::sum);
+      }
     }
     List<String> violations =
-        new SoakObserver(evidence)
-            .violations(calmNanoseconds).stream()
-                .map(violation -> violation.promise() + ": " + violation.evidence())
-                .toList();
+        observer.violations(calmNanoseconds).stream()
+            .map(violation -> violation.promise() + ": " + violation.evidence())
+            .toList();
     return new Result(options.seed(), plan.entries().size(), callsByEnding, violations);
   }
 }
--- a/weirbench/src/test/java/org/corianderweir/bench/soak/SoakCallerTest.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/soak/SoakCallerTest.java
@@ -28,7 +28,9 @@
    */
   @Test
   public void connectionThatHasEndedIsNotUsedAgain() throws Exception {
-    SoakOptions options = SoakOptions.builder(1).sizes(1, 0, 1).firstPort(FIRST_PORT).build();
+    // The server of this test answers one request on a connection, so callers must not pipeline.
+    SoakOptions options =
+        SoakOptions.builder(1).sizes(1, 0, 1).firstPort(FIRST_PORT).singleRequests(true).build();
     SoakEvidence evidence = new SoakEvidence();
     EntryProcesses processes =
         new EntryProcesses(
--- a/weirbench/src/test/java/org/corianderweir/bench/soak/SoakObserverTest.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/soak/SoakObserverTest.java
@@ -19,6 +19,7 @@
   private static final Ending FOREIGN = new Ending.Answered(200, false);
   private static final Ending LEFT = new Ending.Left();
   private static final Ending CUT = new Ending.Cut();
+  private static final Ending UNREAD = new Ending.Unread();
 
   @DataProvider
   public Object[][] calls() {
@@ -36,7 +37,9 @@
       {
         "ran after it left", call(true, LEFT), new long[] {14}, "no work for callers that have left"
       },
-      {"cut", call(true, CUT), new long[] {11}, none}
+      {"cut", call(true, CUT), new long[] {11}, none},
+      {"not read", call(true, UNREAD), new long[] {}, none},
+      {"not read, but ran", call(true, UNREAD), new long[] {11}, "an unread request does not run"}
     };
   }
 
@@ -89,6 +92,30 @@
         List.of(new SoakObserver.Violation("requests are served again", "ratio 0.9")));
   }
 
+  @DataProvider
+  public Object[][] limitedRequests() {
+    int allowed = LimitObserver.allowedInWindow();
+    return new Object[][] {
+      {"as many as allowed", allowed, 0, 0},
+      {"one more", allowed + 1, 0, 1},
+      {"one more, sent before the window", allowed + 1, -2 * SECOND, 0}
+    };
+  }
+
+  @Test(dataProvider = "limitedRequests")
+  public void excessOverARateLimitIsNoticed(
+      String name, int count, long sentBefore, int violations) {
+    SoakEvidence evidence = new SoakEvidence();
+    for (int number = 0; number < count; number++) {
+      long arrived = 10 * SECOND + number * 5 * SECOND / count;
+      long sent = number == 0 ? arrived + sentBefore : arrived;
+      evidence.record(new Call("limited-" + number, true, true, 1, sent, arrived, SERVED));
+      evidence.record(new SoakEvidence.Arrival("limited-" + number, "server", arrived));
+    }
+    recordCalm(evidence, 1);
+    assertEquals(new SoakObserver(evidence).violations(CALM).size(), violations, name);
+  }
+
   /** A request to instance 1, sent at 10 s and ended at 12 s. */
   private static Call call(boolean idempotent, Ending ending) {
     return new Call("request", idempotent, 1, 10 * SECOND, 12 * SECOND, ending);
