--- a/weirbench/src/main/java/org/corianderweir/bench/metadata/ServerStandIn.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/metadata/ServerStandIn.java
@@ -71,6 +71,11 @@
     listener.stop(0);
   }
 
+  /** Returns the identifier of the server. */
+  public String identifier() {
+    return identifier;
+  }
+
   /** Returns the port that the server listens on. */
   public int port() {
     return listener.port();
--- a/weirbench/src/test/java/org/corianderweir/bench/scenario/FleetSmokeTest.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/scenario/FleetSmokeTest.java
@@ -1,16 +1,22 @@
 package org.corianderweir.bench.scenario;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.corianderweir.bench.deployment.Deployment;
 import org.corianderweir.bench.deployment.DeploymentFiles;
 import org.corianderweir.bench.deployment.DeploymentLayout;
 import org.corianderweir.bench.load.ArrivalSchedule;
@@ -29,7 +35,14 @@
 import org.corianderweir.bench.observer.RateCheck;
 import org.corianderweir.bench.observer.Verdict;
 import org.corianderweir.bench.process.Fleet;
+import org.corianderweir.bench.process.FleetClient;
+import org.corianderweir.ctl.CommandLine;
+import org.corianderweir.ctl.ExitStatus;
+import org.corianderweir.ctl.command.FleetExplanation;
+import org.corianderweir.logic.traffic.RequestExplanation;
+import org.corianderweir.model.configuration.BackendServer;
 import org.corianderweir.model.topology.EntryInstance;
+import org.corianderweir.protocol.Json;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
@@ -84,7 +97,68 @@
     assertEquals(brokenPromises(evidence), List.of(), "seed " + SEED);
   }
 
+  /** The command asked only instances with --platform, or another decision than the served one. */
   @Test(dependsOnMethods = "servesKeyedAndOpenRoutes")
+  public void requestIsExplainedByTheOperatorsInterface() {
+    Deployment deployment = layout.deployment();
+    String organisation = deployment.organisations().getFirst().name();
+    Deployment.Route keyed =
+        deployment.routes().stream().filter(route -> !route.open()).findFirst().orElseThrow();
+    BackendServer drained =
+        layout.backendServers().stream()
+            .filter(server -> server.service().equals(keyed.service()))
+            .findFirst()
+            .orElseThrow();
+    operators.drain(drained.name());
+    awaitInForce();
+    String key = keys.of(organisation).text();
+    String sample = "--host h --path " + keyed.path();
+    int requestsBefore = fleet.journal().size();
+    String output = explain(ExitStatus.OK, sample + " --key " + key);
+    FleetExplanation explained = Json.read(output, FleetExplanation.class);
+    assertEquals(explained.problems(), List.of());
+    assertEquals(explained.explanations().size(), layout.entryInstances().size());
+    for (RequestExplanation explanation : explained.explanations()) {
+      assertEquals(explanation.route(), Optional.of(keyed.name()));
+      assertEquals(explanation.organisation(), Optional.of(organisation));
+      assertNotEquals(explanation.outcome().decision(), "reject");
+      assertEquals(
+          explanation.candidates().stream()
+              .filter(candidate -> candidate.server().equals(drained.name()))
+              .map(RequestExplanation.Candidate::reason)
+              .toList(),
+          List.of("is drained"));
+    }
+    assertEquals(output.contains(key), false);
+    FleetExplanation withoutKey = Json.read(explain(ExitStatus.OK, sample), FleetExplanation.class);
+    assertEquals(
+        withoutKey.explanations().stream()
+            .map(explanation -> explanation.outcome().reason().orElse(""))
+            .collect(Collectors.toSet()),
+        Set.of("key-missing"));
+    explain(ExitStatus.USAGE, sample + " --region nowhere");
+    assertEquals(fleet.journal().size(), requestsBefore);
+  }
+
+  private String explain(ExitStatus expected, String arguments) {
+    EntryInstance seed = layout.entryInstances().getFirst();
+    String command =
+        "explain request --all --output json --instances %s:%d --credential %s %s"
+            .formatted(
+                seed.host(), seed.operatorPort(), FleetClient.OPERATOR_CREDENTIAL, arguments);
+    ByteArrayOutputStream output = new ByteArrayOutputStream();
+    ByteArrayOutputStream errors = new ByteArrayOutputStream();
+    ExitStatus status =
+        new CommandLine(
+                Map.of(),
+                new PrintStream(output, true, StandardCharsets.UTF_8),
+                new PrintStream(errors, true, StandardCharsets.UTF_8))
+            .run(command.split(" "));
+    assertEquals(status, expected, errors.toString(StandardCharsets.UTF_8));
+    return output.toString(StandardCharsets.UTF_8);
+  }
+
+  @Test(dependsOnMethods = "requestIsExplainedByTheOperatorsInterface")
   public void aWithdrawnKeyIsRefusedOnceItIsInForce() {
     String organisation = layout.deployment().organisations().getFirst().name();
     operators.withdrawKey(FleetSetup.keyIdentifier(organisation));
--- a/weirctl/src/main/java/org/corianderweir/ctl/CommandLine.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/CommandLine.java
@@ -44,20 +44,15 @@
         output.println(usage(selected));
         return ExitStatus.OK;
       }
-      if (command instanceof LocalCommand local) {
-        output.println(local.run().format(options.format()));
-        return ExitStatus.OK;
-      }
-      if (command instanceof MetricsPortCommand explaining) {
-        output.println(run(explaining, options).format(options.format()));
-        return ExitStatus.OK;
-      }
-      if (!(command instanceof Command remoteCommand)) {
-        errorOutput.println(usage(selected));
-        return ExitStatus.USAGE;
-      }
-      output.println(run(remoteCommand, options).format(options.format()));
-      return ExitStatus.OK;
+      return switch (command) {
+        case LocalCommand local -> report(local.run(), options);
+        case MetricsPortCommand explaining -> report(run(explaining, options), options);
+        case Command remoteCommand -> report(run(remoteCommand, options), options);
+        default -> {
+          errorOutput.println(usage(selected));
+          yield ExitStatus.USAGE;
+        }
+      };
     } catch (ParameterException failure) {
       return reportFailure(
           new CommandException(
@@ -109,6 +104,11 @@
             "weirctl", options.timeout(), options.timeout(), RESPONSE_LIMIT_BYTES));
   }
 
+  private ExitStatus report(CommandResult result, GlobalOptions options) {
+    output.println(result.format(options.format()));
+    return result.failure().map(this::reportFailure).orElse(ExitStatus.OK);
+  }
+
   private ExitStatus reportFailure(CommandException failure) {
     errorOutput.println("weirctl: " + failure.code() + ": " + failure.getMessage());
     errorOutput.println("next: " + failure.nextStep());
--- a/weirctl/src/main/java/org/corianderweir/ctl/MetricsPortCommand.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/MetricsPortCommand.java
@@ -4,8 +4,8 @@
 import org.corianderweir.http.HttpClient;
 
 /**
- * A command of {@code weirctl} that calls the metrics port of entry instances. It needs no
- * credential.
+ * A command of {@code weirctl} that calls the metrics port of entry instances, which needs no
+ * credential, or their operators' interface.
  */
 public interface MetricsPortCommand {
   /**
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/Daemon.java
@@ -102,6 +102,7 @@
                 metrics,
                 time,
                 traffic::drains,
+                traffic::explain,
                 stopRequested::countDown));
     kernel
         .register(EventLog.NAME, events)
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/control/LimitService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/control/LimitService.java
@@ -20,6 +20,7 @@
 import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.limits.AdmissionController;
 import org.corianderweir.logic.limits.AdmissionDecision;
+import org.corianderweir.logic.limits.AdmissionPreview;
 import org.corianderweir.logic.limits.Allowance;
 import org.corianderweir.logic.limits.ConcurrencyPermits;
 import org.corianderweir.logic.limits.FleetLimits;
@@ -129,6 +130,24 @@
     return pendingDecision;
   }
 
+  /**
+   * Returns what {@link #admit} would decide now, without counting the request. Any thread may call
+   * this.
+   */
+  public AdmissionPreview preview(
+      String organisation, long deadlineNanoseconds, long nowNanoseconds) {
+    AdmissionController controller = controllersByOrganisation.get(organisation);
+    return controller == null
+        ? new AdmissionPreview.Refused(UNKNOWN_ORGANISATION_RETRY_MILLISECONDS)
+        : controller.preview(deadlineNanoseconds, nowNanoseconds);
+  }
+
+  /** Returns the rate that this instance may admit for an organisation, in requests per second. */
+  public double heldRate(String organisation, long nowNanoseconds) {
+    AdmissionController controller = controllersByOrganisation.get(organisation);
+    return controller == null ? 0 : controller.bucket().heldAllowance(nowNanoseconds).rate();
+  }
+
   /** Returns the concurrency permits of a backend server; any thread may call this. */
   public Optional<ConcurrencyPermits> backendServerPermits(String backendServer) {
     return permits("backend-server/" + backendServer);
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
@@ -56,6 +56,7 @@
   private Optional<ReportExchange> reportExchange = Optional.empty();
   private Optional<StoreRelay> storeRelay = Optional.empty();
   private final int handshakeLimit;
+  private volatile FleetView currentView = FleetView.EMPTY;
   private boolean secretRequested;
   private boolean registered;
 
@@ -117,7 +118,8 @@
                 descriptors.metrics(),
                 settings),
             metrics,
-            new ExplainEndpoint(self, director, time::monotonicNanoseconds));
+            new ExplainEndpoint(self, director, storeWatcher::viewAge, time::monotonicNanoseconds),
+            () -> FleetListings.of(self, currentView));
     entryService =
         new EntryService(
             settings,
@@ -168,6 +170,7 @@
   }
 
   private void apply(FleetView view) {
+    currentView = view;
     entryService.apply(view);
     registration.observe(view);
     if (view.peerSecret().isEmpty()) {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ExplainEndpoint.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ExplainEndpoint.java
@@ -5,11 +5,14 @@
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.corianderweir.http.HttpHeaders;
 import org.corianderweir.http.HttpRequest;
 import org.corianderweir.http.HttpResponse;
+import org.corianderweir.logic.traffic.RejectionReason;
 import org.corianderweir.logic.traffic.RequestAttributes;
 import org.corianderweir.logic.traffic.RequestExplanation;
 import org.corianderweir.logic.traffic.TrafficDirector;
@@ -33,11 +36,22 @@
 
   private final FleetMember self;
   private final TrafficDirector director;
+  private final Supplier<Optional<Duration>> viewAge;
   private final LongSupplier monotonicNanoseconds;
 
-  ExplainEndpoint(FleetMember self, TrafficDirector director, LongSupplier monotonicNanoseconds) {
+  /**
+   * Creates an endpoint.
+   *
+   * @param viewAge returns the time since the store confirmed what this instance knows of the fleet
+   */
+  ExplainEndpoint(
+      FleetMember self,
+      TrafficDirector director,
+      Supplier<Optional<Duration>> viewAge,
+      LongSupplier monotonicNanoseconds) {
     this.self = self;
     this.director = director;
+    this.viewAge = viewAge;
     this.monotonicNanoseconds = monotonicNanoseconds;
   }
 
@@ -73,10 +87,13 @@
             sample.deadlineMilliseconds().map(OptionalLong::of).orElseGet(OptionalLong::empty),
             Duration.ZERO);
     RequestExplanation explanation =
-        director.explain(attributes, sample.bodyBytes(), region, monotonicNanoseconds.getAsLong());
+        director
+            .explain(attributes, sample.bodyBytes(), region, monotonicNanoseconds.getAsLong())
+            .withAge(viewAge.get());
     return explanation
         .outcome()
         .reason()
+        .map(RejectionReason::valueOf)
         .map(reason -> explanation.withStatus(CallerResponses.status(reason)))
         .orElse(explanation);
   }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/MetricsEndpoint.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/MetricsEndpoint.java
@@ -11,15 +11,21 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.corianderweir.http.ClosureCause;
 import org.corianderweir.http.HttpHeaders;
 import org.corianderweir.http.HttpListener;
 import org.corianderweir.http.HttpListenerOptions;
 import org.corianderweir.http.HttpRequest;
 import org.corianderweir.http.HttpResponse;
+import org.corianderweir.protocol.Json;
+import org.corianderweir.protocol.operator.FleetListing;
 import org.corianderweir.protocol.operator.RequestSample;
 
-/** Serves counters and timers in the text format of Prometheus, and explanations of requests. */
+/**
+ * Serves counters and timers in the text format of Prometheus, explanations of requests, and the
+ * list of the entry instances.
+ */
 final class MetricsEndpoint {
   private static final String PATH = "/metrics";
   private static final int STATUS_OK = 200;
@@ -29,12 +35,17 @@
 
   private final MetricRegistry metrics;
   private final ExplainEndpoint explanations;
+  private final Supplier<FleetListing> fleet;
   private final HttpListener listener;
 
   MetricsEndpoint(
-      HttpListenerOptions options, MetricRegistry metrics, ExplainEndpoint explanations) {
+      HttpListenerOptions options,
+      MetricRegistry metrics,
+      ExplainEndpoint explanations,
+      Supplier<FleetListing> fleet) {
     this.metrics = metrics;
     this.explanations = explanations;
+    this.fleet = fleet;
     listener = new HttpListener(options, this::answer);
     exportLimits(options.name(), listener);
   }
@@ -88,6 +99,10 @@
     if (request.path().equals(RequestSample.ENDPOINT_PATH)) {
       return CompletableFuture.completedFuture(explanations.answer(request));
     }
+    if (request.path().equals(FleetListing.ENDPOINT_PATH)) {
+      return CompletableFuture.completedFuture(
+          HttpResponse.json(STATUS_OK, Json.write(fleet.get())));
+    }
     boolean known = request.path().equals(PATH);
     return CompletableFuture.completedFuture(
         new HttpResponse(
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreWatcher.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreWatcher.java
@@ -82,7 +82,7 @@
   private Optional<Updates> updates = Optional.empty();
   private Duration retryDelay = INITIAL_RETRY_DELAY;
   private Optional<Long> outageStartNanoseconds = Optional.empty();
-  private boolean listed;
+  private volatile boolean listed;
   private boolean listingNeeded;
 
   /** Whether changes could not be applied and were not read again since. */
@@ -156,6 +156,11 @@
     return decision.watches();
   }
 
+  /** Returns the time since the store confirmed the view; empty before. Thread-safe. */
+  public Optional<Duration> viewAge() {
+    return listed ? Optional.of(follower.age(time.monotonicNanoseconds())) : Optional.empty();
+  }
+
   /** Applies an update of another instance of the zone. */
   public void receive(String sender, StoreUpdate update) {
     if (listed && !stopped) {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorContext.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/OperatorContext.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.corianderweir.daemon.control.ConfigurationService;
 import org.corianderweir.daemon.control.EventLog;
@@ -10,6 +11,8 @@
 import org.corianderweir.daemon.steering.SteeringService;
 import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.delivery.DrainState;
+import org.corianderweir.logic.traffic.RequestExplanation;
+import org.corianderweir.protocol.operator.ExplainMessages;
 
 /**
  * The services and state that the operations of operators use.
@@ -22,6 +25,7 @@
  * @param metrics registry of the meters
  * @param time source of the present time
  * @param drains returns the drained backend servers and this instance's requests in flight there
+ * @param explainRequest explains what this instance would do with a request
  * @param requestStop starts a planned stop of the process
  */
 public record OperatorContext(
@@ -33,4 +37,5 @@
     MetricRegistry metrics,
     TimeSource time,
     Supplier<List<DrainState>> drains,
+    Function<ExplainMessages.ExplainedRequest, RequestExplanation> explainRequest,
     Runnable requestStop) {}
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/operator/ShiftOperations.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/operator/ShiftOperations.java
@@ -14,7 +14,7 @@
 import org.corianderweir.protocol.operator.ShiftMessages;
 import org.corianderweir.protocol.operator.ShiftMessages.ShareView;
 
-/** Operations on shifts, and the operation that explains how a sample request is steered. */
+/** Operations on shifts, and the operations that explain how requests are steered. */
 final class ShiftOperations {
   private final OperatorContext context;
 
@@ -38,6 +38,7 @@
             new SteeringChange.TurnBackShift(request.selector(), wallMilliseconds));
     routes.read(
         Operations.EXPLAIN, request -> explainer().explain(request.path(), request.organisation()));
+    routes.read(Operations.EXPLAIN_REQUEST, context.explainRequest());
   }
 
   private SteeringExplainer explainer() {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettings.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/settings/EntrySettings.java
@@ -52,6 +52,7 @@
         location.zone(),
         location.region(),
         incarnation,
-        processorCapacity);
+        processorCapacity,
+        metricsPort);
   }
 }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/steering/CapacityLimiter.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/steering/CapacityLimiter.java
@@ -78,6 +78,49 @@
         });
   }
 
+  /**
+   * Returns the limit because of which {@link #tryAcquire} would not acquire a permit now; empty if
+   * it would. Acquires and counts nothing.
+   */
+  public Optional<String> reachedLimit(
+      Cell cell,
+      String selector,
+      long requestBytes,
+      long deadlineNanoseconds,
+      long nowNanoseconds) {
+    if (!isAvailable(limits.selectorPermits(selector), deadlineNanoseconds, nowNanoseconds)) {
+      return Optional.of("concurrency of the selector");
+    }
+    if (!isAvailable(limits.regionPermits(cell.region()), deadlineNanoseconds, nowNanoseconds)) {
+      return Optional.of("concurrency of region " + cell.region());
+    }
+    if (!hasLinkCapacity(region, cell.region(), requestBytes * BITS_PER_BYTE, nowNanoseconds)) {
+      return Optional.of("link from " + region + " to " + cell.region());
+    }
+    double responseBits =
+        Optional.ofNullable(responseAccounts.get(cell.region()))
+            .map(LinkAccount::nextReservationBits)
+            .orElse(INITIAL_RESPONSE_SIZE_BITS);
+    return hasLinkCapacity(cell.region(), region, responseBits, nowNanoseconds)
+        ? Optional.empty()
+        : Optional.of("link from " + cell.region() + " to " + region);
+  }
+
+  private static boolean isAvailable(
+      Optional<ConcurrencyPermits> permits, long deadlineNanoseconds, long nowNanoseconds) {
+    return permits.isEmpty() || permits.get().isAvailable(deadlineNanoseconds, nowNanoseconds);
+  }
+
+  private boolean hasLinkCapacity(String from, String to, double bits, long nowNanoseconds) {
+    return link(from, to)
+        .map(controller -> controller.bucket().has(bits, nowNanoseconds))
+        .orElse(true);
+  }
+
+  private Optional<AdmissionController> link(String from, String to) {
+    return from.equals(to) ? Optional.empty() : limits.linkAdmissionController(from, to);
+  }
+
   private static boolean tryAcquirePermit(
       Optional<ConcurrencyPermits> permits,
       long deadlineNanoseconds,
@@ -94,13 +137,13 @@
   }
 
   private boolean tryConsumeLinkCapacity(String from, String to, double bits, long nowNanoseconds) {
-    Optional<AdmissionController> controller =
-        from.equals(to) ? Optional.empty() : limits.linkAdmissionController(from, to);
-    return controller.isEmpty() || controller.get().bucket().tryConsume(bits, nowNanoseconds);
+    return link(from, to)
+        .map(controller -> controller.bucket().tryConsume(bits, nowNanoseconds))
+        .orElse(true);
   }
 
   private Optional<LinkAccount> responseAccount(String fromRegion) {
-    if (fromRegion.equals(region) || limits.linkAdmissionController(fromRegion, region).isEmpty()) {
+    if (link(fromRegion, region).isEmpty()) {
       return Optional.empty();
     }
     return Optional.of(
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Delivery.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/Delivery.java
@@ -3,13 +3,13 @@
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Function;
 import org.corianderweir.daemon.control.EventLog;
 import org.corianderweir.daemon.steering.CapacityPermit;
 import org.corianderweir.http.HttpAddress;
@@ -116,6 +116,41 @@
     return attempts.result;
   }
 
+  /**
+   * Returns the servers of a cell for a new request, without recording that they are considered.
+   */
+  List<ServerSelection.Candidate<BackendServer>> explainedCandidates(
+      Cell cell, long nowNanoseconds) {
+    return candidates(cell, Set.of(), server -> health.peek(server, nowNanoseconds));
+  }
+
+  private List<ServerSelection.Candidate<BackendServer>> candidates(
+      Cell cell, Set<String> failedServers, Function<BackendServer, ServerHealth> healthOf) {
+    return cell.servers().stream()
+        .filter(server -> !failedServers.contains(server.name()))
+        .map(
+            server ->
+                new ServerSelection.Candidate<>(
+                    server, server.slots(), inFlight.inFlight(server), healthOf.apply(server)))
+        .toList();
+  }
+
+  /** Returns whether requests of a selector wait for the servers of a list. */
+  boolean hasPendingRequests(String selector, List<BackendServer> servers) {
+    return !pendingRequests.isEmpty(queueName(selector, servers));
+  }
+
+  /**
+   * Returns the name of the queue to wait in; the requests of a queue can use the same servers.
+   *
+   * @param servers the servers that the request may be sent to at present
+   */
+  private static String queueName(String selector, List<BackendServer> servers) {
+    return servers.isEmpty()
+        ? selector + PendingRequestQueues.NO_SERVER_SUFFIX
+        : selector + '/' + servers.getFirst().availabilityZone();
+  }
+
   /** The attempts to deliver one request, one after another. */
   private final class Attempts implements PendingRequestQueues.PendingRequest {
     private final RequestContext context;
@@ -133,7 +168,7 @@
     }
 
     private void attemptNext() {
-      String queueName = queueName();
+      String queueName = queueName(selector, servers());
       Optional<Runnable> send =
           pendingRequests.isEmpty(queueName) ? tryReserve() : Optional.empty();
       if (send.isPresent()) {
@@ -150,20 +185,6 @@
       result.whenComplete((response, failure) -> pendingRequests.remove(queueName, this));
     }
 
-    /**
-     * Returns the name of the queue to wait in; the requests of a queue can use the same servers.
-     */
-    private String queueName() {
-      List<BackendServer> servers = servers();
-      return servers.isEmpty()
-          ? selector + PendingRequestQueues.NO_SERVER_SUFFIX
-          : queueName(servers.getFirst());
-    }
-
-    private String queueName(BackendServer server) {
-      return selector + '/' + server.availabilityZone();
-    }
-
     @Override
     public Optional<Runnable> tryReserve() {
       if (result.isDone()
@@ -178,18 +199,10 @@
 
     private Optional<Runnable> tryReserveServerIn(Cell cell) {
       long nowNanoseconds = time.monotonicNanoseconds();
-      List<ServerSelection.Candidate<BackendServer>> candidates = new ArrayList<>();
-      for (BackendServer server : cell.servers()) {
-        if (!failedServers.contains(server.name())) {
-          candidates.add(
-              new ServerSelection.Candidate<>(
-                  server,
-                  server.slots(),
-                  inFlight.inFlight(server),
-                  health.of(server, nowNanoseconds)));
-        }
-      }
-      return ServerSelection.choose(candidates, ThreadLocalRandom.current(), nowNanoseconds)
+      return ServerSelection.choose(
+              candidates(cell, failedServers, server -> health.of(server, nowNanoseconds)),
+              ThreadLocalRandom.current(),
+              nowNanoseconds)
           .flatMap(chosen -> reserveServer(cell, chosen.server(), nowNanoseconds));
     }
 
@@ -244,7 +257,7 @@
               onExchangeEnded(
                   server, response, failure, time.monotonicNanoseconds() - sentNanoseconds);
             }
-            pendingRequests.dispatchPending(queueName(server));
+            pendingRequests.dispatchPending(queueName(selector, List.of(server)));
           });
     }
 
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/HealthTable.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/HealthTable.java
@@ -18,6 +18,12 @@
         : healthByServer.computeIfAbsent(server.name(), unused -> new ServerHealth(nowNanoseconds));
   }
 
+  /** Returns the health of a server without noting that it is used now. */
+  ServerHealth peek(BackendServer server, long nowNanoseconds) {
+    ServerHealth known = healthByServer.get(server.name());
+    return known != null ? known : new ServerHealth(nowNanoseconds);
+  }
+
   /**
    * Removes all servers but the named ones. A removed server begins with a slow start when it gets
    * requests again.
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestContext.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestContext.java
@@ -29,16 +29,9 @@
     Optional<RequestIdentifier> identifier,
     long deadlineNanoseconds) {
 
-  RequestContext withOrganisation(String accepted) {
+  RequestContext withOrganisation(Optional<String> accepted) {
     return new RequestContext(
-        request,
-        caller,
-        snapshot,
-        selector,
-        Optional.of(accepted),
-        name,
-        identifier,
-        deadlineNanoseconds);
+        request, caller, snapshot, selector, accepted, name, identifier, deadlineNanoseconds);
   }
 
   /**
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestPipeline.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/RequestPipeline.java
@@ -3,7 +3,6 @@
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
@@ -14,12 +13,10 @@
 import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.delivery.RequestIdentifier;
 import org.corianderweir.logic.delivery.RetryPolicy;
-import org.corianderweir.logic.keys.KeyDecision;
 import org.corianderweir.logic.keys.KeyFreshnessView;
 import org.corianderweir.logic.limits.AdmissionDeadline;
 import org.corianderweir.logic.limits.AdmissionDecision;
 import org.corianderweir.logic.steering.RouteMatch;
-import org.corianderweir.model.configuration.Selector;
 import org.corianderweir.model.request.RefusalReason;
 import org.jspecify.annotations.Nullable;
 
@@ -33,7 +30,7 @@
 
   private final String instanceName;
   private final RateAdmission admission;
-  private final Supplier<KeyFreshnessView> keyFreshness;
+  private final KeyAuthoriser authoriser;
   private final RunOnceGate runOnceGate;
   private final Delivery delivery;
   private final Refusals refusals;
@@ -52,7 +49,7 @@
       TimeSource time) {
     this.instanceName = instanceName;
     this.admission = admission;
-    this.keyFreshness = keyFreshness;
+    authoriser = new KeyAuthoriser(keyFreshness);
     this.runOnceGate = runOnceGate;
     this.delivery = delivery;
     this.refusals = refusals;
@@ -108,32 +105,20 @@
     if (!context.isWanted()) {
       return refusals.callerLeft(context.name());
     }
-    Selector selector = context.selector();
-    if (selector.open()) {
-      return runOnce(context);
-    }
-    Optional<String> key = context.request().headers().first(CallerHeaders.KEY);
-    if (key.isEmpty()) {
-      return refuse(context, RefusalReason.KEY_MISSING, "the route needs a key");
-    }
-    return switch (context.snapshot().keys().check(key.get())) {
-      case KeyDecision.Rejected rejected ->
-          refuse(context, RefusalReason.KEY_REJECTED, "the key is not in force");
-      case KeyDecision.Accepted accepted -> authorise(context, accepted.organisation());
+    KeyAuthoriser.Authorisation authorisation =
+        authoriser.authorise(
+            context.selector(),
+            context.request().headers().first(CallerHeaders.KEY),
+            context.snapshot().keys(),
+            time.monotonicNanoseconds());
+    return switch (authorisation) {
+      case KeyAuthoriser.Authorisation.Accepted accepted ->
+          runOnce(context.withOrganisation(accepted.organisation()));
+      case KeyAuthoriser.Authorisation.Refused refused ->
+          refuse(context, refused.reason(), refused.message());
     };
   }
 
-  private CompletableFuture<HttpResponse> authorise(RequestContext context, String organisation) {
-    List<String> allowed = context.selector().organisations();
-    if (!allowed.isEmpty() && !allowed.contains(organisation)) {
-      return refuse(context, RefusalReason.ROUTE_FORBIDDEN, "not for this organisation");
-    }
-    if (!keyFreshness.get().mayAcceptKeys(organisation, time.monotonicNanoseconds())) {
-      return refuse(context, RefusalReason.KEYS_STALE, "the keys can't be confirmed");
-    }
-    return runOnce(context.withOrganisation(organisation));
-  }
-
   private CompletableFuture<HttpResponse> runOnce(RequestContext context) {
     return context.identifier().isPresent()
         ? runOnceGate.handle(context, context.identifier().get(), this::admit)
@@ -215,13 +200,15 @@
   }
 
   private long deadlineNanoseconds(HttpRequest request) {
-    Duration requested =
-        request
-            .headers()
-            .first(CallerHeaders.DEADLINE_MILLISECONDS)
-            .map(text -> Duration.ofMillis(Long.parseLong(text)))
-            .orElse(DEFAULT_DEADLINE);
+    return deadlineNanoseconds(
+        request.headers().first(CallerHeaders.DEADLINE_MILLISECONDS).map(Long::parseLong),
+        time.monotonicNanoseconds());
+  }
+
+  /** Returns the monotonic time at which a caller stops waiting. */
+  static long deadlineNanoseconds(Optional<Long> milliseconds, long nowNanoseconds) {
+    Duration requested = milliseconds.map(Duration::ofMillis).orElse(DEFAULT_DEADLINE);
     Duration limited = requested.compareTo(MAXIMUM_DEADLINE) > 0 ? MAXIMUM_DEADLINE : requested;
-    return time.monotonicNanoseconds() + limited.toNanos();
+    return nowNanoseconds + limited.toNanos();
   }
 }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
@@ -33,6 +33,7 @@
 import org.corianderweir.logic.lookup.EntryInstanceRanking;
 import org.corianderweir.logic.lookup.LookupDirectory;
 import org.corianderweir.logic.steering.SteeringTable;
+import org.corianderweir.logic.traffic.RequestExplanation;
 import org.corianderweir.model.configuration.AvailabilityZone;
 import org.corianderweir.model.configuration.BackendServer;
 import org.corianderweir.model.configuration.Configuration;
@@ -41,6 +42,7 @@
 import org.corianderweir.model.topology.EntryInstance;
 import org.corianderweir.model.topology.InstanceState;
 import org.corianderweir.protocol.Json;
+import org.corianderweir.protocol.operator.ExplainMessages;
 
 /** Listens for callers: answers lookups and steers requests to backend servers. */
 public final class TrafficService implements Service {
@@ -79,6 +81,7 @@
   private final Delivery delivery;
   private final RunOnceGate runOnceGate;
   private final RequestPipeline pipeline;
+  private final TrafficExplainer explainer;
   private final AtomicInteger openRequests = new AtomicInteger();
   private final DrainTracker drains = new DrainTracker();
   private volatile LookupDirectory lookups = LookupDirectory.EMPTY;
@@ -111,15 +114,9 @@
                 .withPreconnect()
                 .withMemory(memory.responses()));
     refusals = new Refusals(self.name(), events, metrics);
+    CapacityLimiter capacity = new CapacityLimiter(self.region(), limits);
     delivery =
-        new Delivery(
-            self.name(),
-            client,
-            new CapacityLimiter(self.region(), limits)::tryAcquire,
-            refusals,
-            events,
-            metrics,
-            time);
+        new Delivery(self.name(), client, capacity::tryAcquire, refusals, events, metrics, time);
     runOnceGate =
         new RunOnceGate(
             self.name(),
@@ -136,13 +133,15 @@
             refusals,
             metrics,
             time);
+    int bodyLimitBytes = Math.min(settings.bodyLimitBytes(), memory.requestLimitBytes());
+    explainer = new TrafficExplainer(self, bodyLimitBytes, limits, capacity, delivery);
     listener =
         new HttpListener(
             new HttpListenerOptions(
                     "callers",
                     self.host(),
                     settings.listenPorts().callers(),
-                    Math.min(settings.bodyLimitBytes(), memory.requestLimitBytes()),
+                    bodyLimitBytes,
                     WORKER_THREADS)
                 .withMemory(memory.requests()),
             this::handle);
@@ -205,6 +204,17 @@
     return drains.states(delivery::inFlight, time.wallMilliseconds());
   }
 
+  /** Explains what this instance would do with a request now. Any thread may call this. */
+  public RequestExplanation explain(ExplainMessages.ExplainedRequest request) {
+    boolean serving = membership.state() != InstanceState.JOINING;
+    return explainer.explain(
+        request,
+        serving ? Optional.of(snapshot) : Optional.empty(),
+        membership.keyFreshness(),
+        time.monotonicNanoseconds(),
+        time.wallMilliseconds());
+  }
+
   private CompletableFuture<HttpResponse> handle(HttpRequest request, CallerConnection caller) {
     openRequests.incrementAndGet();
     CompletableFuture<HttpResponse> response = route(request, caller);
--- a/weirdaemon/src/test/java/org/corianderweir/daemon/operator/OperatorServiceTest.java
+++ b/weirdaemon/src/test/java/org/corianderweir/daemon/operator/OperatorServiceTest.java
@@ -21,6 +21,8 @@
 import org.corianderweir.http.HttpResponse;
 import org.corianderweir.kernel.ControlExecutor;
 import org.corianderweir.logic.steering.grammar.SelectorParser;
+import org.corianderweir.model.ErrorCode;
+import org.corianderweir.model.WeirException;
 import org.corianderweir.model.configuration.AvailabilityZone;
 import org.corianderweir.model.configuration.BackendServer;
 import org.corianderweir.model.configuration.Configuration;
@@ -104,6 +106,9 @@
                 metrics,
                 time,
                 List::of,
+                request -> {
+                  throw new WeirException(ErrorCode.JSON_INVALID, request.sample().path());
+                },
                 () -> {}));
     assertEquals(call("PUT", "/configuration", Json.write(FIRST)).status(), 200);
   }
--- a/weirlib/src/main/java/org/corianderweir/logic/delivery/ServerSelection.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/delivery/ServerSelection.java
@@ -22,24 +22,61 @@
    */
   public record Candidate<T>(T server, int slots, int inFlight, ServerHealth health) {}
 
+  /** Whether a candidate can be chosen, or the reason why not. */
+  public enum Verdict {
+    /** It can be chosen. */
+    AVAILABLE("it may get the request"),
+    /** Its requests failed. */
+    EJECTED("requests to it failed a short time ago"),
+    /** It refused a request. */
+    OVERLOADED("it refused a request a moment ago"),
+    /** It is in its slow start, and its share of the slots is in use. */
+    COLD("it is cold, and the slots that it gets at first are in use by this instance"),
+    /** Its slots are in use. */
+    FULL("its slots are in use by this instance");
+
+    private final String reason;
+
+    Verdict(String reason) {
+      this.reason = reason;
+    }
+
+    /** Returns the reason for people. */
+    public String reason() {
+      return reason;
+    }
+  }
+
+  /**
+   * Returns a verdict for each candidate. Ejections are ignored when more than half of the
+   * candidates are ejected, so that faulty measurements cannot take a whole zone out of service.
+   */
+  public static <T> List<Verdict> verdicts(List<Candidate<T>> candidates, long nowNanoseconds) {
+    long ejected =
+        candidates.stream()
+            .filter(candidate -> candidate.health().isEjected(nowNanoseconds))
+            .count();
+    boolean tooManyEjected = 2 * ejected > candidates.size();
+    return candidates.stream()
+        .map(
+            candidate ->
+                !tooManyEjected && candidate.health().isEjected(nowNanoseconds)
+                    ? Verdict.EJECTED
+                    : verdict(candidate, nowNanoseconds))
+        .toList();
+  }
+
   /**
    * Chooses one of the candidates; returns empty if none is available as far as this entry instance
-   * knows. Ejections are ignored when more than half of the candidates are ejected, so that faulty
-   * measurements cannot take a whole zone out of service.
+   * knows.
    */
   public static <T> Optional<Candidate<T>> choose(
       List<Candidate<T>> candidates, RandomGenerator random, long nowNanoseconds) {
-    List<Candidate<T>> healthy = new ArrayList<>();
-    for (Candidate<T> candidate : candidates) {
-      if (!candidate.health().isEjected(nowNanoseconds)) {
-        healthy.add(candidate);
-      }
-    }
-    boolean tooManyEjected = 2 * healthy.size() < candidates.size();
+    List<Verdict> verdicts = verdicts(candidates, nowNanoseconds);
     List<Candidate<T>> available = new ArrayList<>();
-    for (Candidate<T> candidate : tooManyEjected ? candidates : healthy) {
-      if (isAvailable(candidate, nowNanoseconds)) {
-        available.add(candidate);
+    for (int index = 0; index < candidates.size(); index++) {
+      if (verdicts.get(index) == Verdict.AVAILABLE) {
+        available.add(candidates.get(index));
       }
     }
     if (available.isEmpty()) {
@@ -51,10 +88,12 @@
     return Optional.of(firstIsBetter ? first : second);
   }
 
-  private static boolean isAvailable(Candidate<?> candidate, long nowNanoseconds) {
-    double allowed =
-        Math.max(1, candidate.slots() * candidate.health().slowStartRatio(nowNanoseconds));
-    return candidate.inFlight() < allowed && !candidate.health().isOverloaded(nowNanoseconds);
+  private static Verdict verdict(Candidate<?> candidate, long nowNanoseconds) {
+    double slowStartRatio = candidate.health().slowStartRatio(nowNanoseconds);
+    if (candidate.inFlight() >= Math.max(1, candidate.slots() * slowStartRatio)) {
+      return slowStartRatio < 1 ? Verdict.COLD : Verdict.FULL;
+    }
+    return candidate.health().isOverloaded(nowNanoseconds) ? Verdict.OVERLOADED : Verdict.AVAILABLE;
   }
 
   private static double cost(Candidate<?> candidate, long nowNanoseconds) {
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/AdmissionController.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/AdmissionController.java
@@ -76,10 +76,7 @@
    */
   public synchronized boolean tryEnqueue(
       AdmissionListener listener, long deadlineNanoseconds, long nowNanoseconds) {
-    double rate = attainableRate;
-    double waitNanoseconds = rate <= 0 ? 0 : queue.size() * NANOSECONDS_PER_SECOND / rate;
-    boolean missesDeadline = nowNanoseconds + waitNanoseconds > deadlineNanoseconds;
-    if (missesDeadline || queue.size() >= MAXIMUM_QUEUE_LENGTH) {
+    if (!mayQueue(deadlineNanoseconds, nowNanoseconds)) {
       return false;
     }
     queue.addLast(new QueuedRequest(listener, deadlineNanoseconds));
@@ -88,6 +85,23 @@
     return true;
   }
 
+  private boolean mayQueue(long deadlineNanoseconds, long nowNanoseconds) {
+    double rate = attainableRate;
+    double waitNanoseconds = rate <= 0 ? 0 : queue.size() * NANOSECONDS_PER_SECOND / rate;
+    boolean missesDeadline = nowNanoseconds + waitNanoseconds > deadlineNanoseconds;
+    return !missesDeadline && queue.size() < MAXIMUM_QUEUE_LENGTH;
+  }
+
+  /** Returns what would be decided on a request now, without counting or queueing it. */
+  public synchronized AdmissionPreview preview(long deadlineNanoseconds, long nowNanoseconds) {
+    if (queueLength == 0 && bucket.has(1, nowNanoseconds)) {
+      return new AdmissionPreview.Admitted();
+    }
+    return mayQueue(deadlineNanoseconds, nowNanoseconds)
+        ? new AdmissionPreview.Queued()
+        : new AdmissionPreview.Refused(retryAfterMilliseconds());
+  }
+
   /** Returns how long a refused caller should wait before it tries again. */
   public long retryAfterMilliseconds() {
     double rate = heldRate;
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/ConcurrencyPermits.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/ConcurrencyPermits.java
@@ -26,8 +26,7 @@
    * @return whether a permit was acquired
    */
   public synchronized boolean tryAcquire(long deadlineNanoseconds, long nowNanoseconds) {
-    expire(nowNanoseconds);
-    if (held + 1 > availablePermits(deadlineNanoseconds, nowNanoseconds)) {
+    if (!isAvailable(deadlineNanoseconds, nowNanoseconds)) {
       unmetRequests++;
       return false;
     }
@@ -36,6 +35,12 @@
     return true;
   }
 
+  /** Returns whether a permit is available for a request; neither acquires it nor counts this. */
+  public synchronized boolean isAvailable(long deadlineNanoseconds, long nowNanoseconds) {
+    expire(nowNanoseconds);
+    return held + 1 <= availablePermits(deadlineNanoseconds, nowNanoseconds);
+  }
+
   /** Releases the permit of a request that has ended. */
   public synchronized void release() {
     if (held <= 0) {
--- a/weirlib/src/main/java/org/corianderweir/logic/limits/SliceBucket.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/limits/SliceBucket.java
@@ -52,14 +52,19 @@
 
   /** Consumes tokens, if enough are available, for a request that was counted when it arrived. */
   public synchronized boolean tryConsumeQueued(double amount, long nowNanoseconds) {
-    advance(nowNanoseconds);
-    if (tokens + ROUNDING_TOLERANCE_TOKENS < amount) {
+    if (!has(amount, nowNanoseconds)) {
       return false;
     }
     tokens -= amount;
     return true;
   }
 
+  /** Returns whether tokens are available now; neither consumes them nor counts an arrival. */
+  public synchronized boolean has(double amount, long nowNanoseconds) {
+    advance(nowNanoseconds);
+    return tokens + ROUNDING_TOLERANCE_TOKENS >= amount;
+  }
+
   /** Sets how many tokens the queued requests need, which raises the demand. */
   public synchronized void setBacklog(double waitingTokens) {
     backlogTokens = waitingTokens;
--- a/weirlib/src/main/java/org/corianderweir/logic/relay/StoreFollower.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/relay/StoreFollower.java
@@ -50,7 +50,7 @@
   private final SnapshotAssembly assembly = new SnapshotAssembly();
   private List<String> ranking;
   private long revision;
-  private long confirmedNanoseconds;
+  private volatile long confirmedNanoseconds;
   private long contactNanoseconds;
   private Optional<Long> requestedNanoseconds = Optional.empty();
   private Duration requestInterval = REQUEST_INTERVAL;
@@ -93,7 +93,10 @@
     return revision;
   }
 
-  /** Returns the time since the store confirmed the view, to this instance or to its relay. */
+  /**
+   * Returns the time since the store confirmed the view, to this instance or to its relay. Any
+   * thread may call this.
+   */
   public Duration age(long nowNanoseconds) {
     return Duration.ofNanos(nowNanoseconds - confirmedNanoseconds);
   }
--- a/weirlib/src/main/java/org/corianderweir/logic/steering/LinkAccount.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/steering/LinkAccount.java
@@ -41,14 +41,18 @@
    * @return the bits reserved, or a negative number if the capacity is not available now
    */
   public synchronized double tryReserve(long nowNanoseconds) {
-    double requestedBits = expectedBits + deficitBits;
-    if (!tokens.tryConsume(requestedBits, nowNanoseconds)) {
+    if (!tokens.tryConsume(nextReservationBits(), nowNanoseconds)) {
       return -1;
     }
     deficitBits = 0;
     return expectedBits;
   }
 
+  /** Returns the bits that the next reservation takes, with the deficit of earlier ones. */
+  public synchronized double nextReservationBits() {
+    return expectedBits + deficitBits;
+  }
+
   /**
    * Records the actual size of an answer for which capacity was reserved.
    *
--- a/weirlib/src/main/java/org/corianderweir/logic/steering/explain/SteeringExplainer.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/steering/explain/SteeringExplainer.java
@@ -149,6 +149,19 @@
     return new Stage("eligible backend server", candidates);
   }
 
+  /** Returns the servers of a selector's service that no destination has, with the reasons. */
+  public List<Candidate> ineligibleServers(Selector selector) {
+    List<Candidate> candidates = new ArrayList<>();
+    for (ServerPlace place : ServerPlace.of(configuration)) {
+      if (place.server().service().equals(selector.service())) {
+        exclusionReason(selector, place)
+            .ifPresent(
+                reason -> candidates.add(new Candidate(place.server().name(), false, reason)));
+      }
+    }
+    return candidates;
+  }
+
   private Optional<String> exclusionReason(Selector selector, ServerPlace place) {
     if (!place.server().service().equals(selector.service())) {
       return Optional.of("runs service " + place.server().service());
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/RequestExplainer.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/RequestExplainer.java
@@ -15,12 +15,21 @@
   private final String instance;
   private final String region;
   private final long configurationVersion;
+  private final Optional<RequestExplanation.Basis> basis;
   private final long nowNanoseconds;
 
-  RequestExplainer(String instance, String region, long configurationVersion, long nowNanoseconds) {
+  /**
+   * Creates an explainer.
+   *
+   * @param instance name of this instance
+   * @param region region from which the request is taken to arrive
+   * @param view what this instance knows of the fleet
+   */
+  RequestExplainer(String instance, String region, FleetView view, long nowNanoseconds) {
     this.instance = instance;
     this.region = region;
-    this.configurationVersion = configurationVersion;
+    configurationVersion = view.index().map(index -> index.configuration().version()).orElse(0L);
+    basis = Optional.of(new RequestExplanation.Basis(view.revision(), Optional.empty()));
     this.nowNanoseconds = nowNanoseconds;
   }
 
@@ -40,7 +49,8 @@
         Optional.empty(),
         Optional.empty(),
         List.of(),
-        rejection(rejected.reason(), rejected.retryAfter()));
+        rejection(rejected.reason(), rejected.retryAfter()),
+        basis);
   }
 
   /** Explains the rejection of a request that has a route. */
@@ -52,6 +62,7 @@
         "rejected: " + rejected.reason(),
         Optional.empty(),
         Optional.empty(),
+        List.of(),
         rejection(rejected.reason(), rejected.retryAfter()));
   }
 
@@ -59,18 +70,21 @@
    * Explains the next step of an admitted request.
    *
    * @param evaluation the step and its grounds
+   * @param excluded servers of the service that get no requests
    */
   RequestExplanation admitted(
       RouteMatch.Found match,
       Optional<RateLimitSnapshot> limit,
       AdmittedRequest request,
-      StepEvaluation evaluation) {
+      StepEvaluation evaluation,
+      List<ServerPool.Excluded> excluded) {
     return matched(
         match,
         limit.map(state -> limit(state, false)),
         "admitted",
         Optional.of(request.service()),
         Optional.of(evaluation),
+        excluded,
         outcome(evaluation.step()));
   }
 
@@ -80,8 +94,12 @@
       String admission,
       Optional<String> service,
       Optional<StepEvaluation> evaluation,
+      List<ServerPool.Excluded> excluded,
       RequestExplanation.Outcome outcome) {
     TrafficRoute route = match.route();
+    List<RequestExplanation.Candidate> candidates = new ArrayList<>();
+    evaluation.ifPresent(present -> candidates.addAll(candidates(present)));
+    excluded.forEach(server -> candidates.add(candidate(server)));
     int priority =
         match.organisation().map(CallerOrganisation::priority).stream()
             .flatMapToInt(own -> own.stream())
@@ -102,13 +120,18 @@
             .flatMap(StepEvaluation::ruling)
             .map(ruling -> capacity(ruling.result().assessment())),
         evaluation.flatMap(StepEvaluation::search).map(searched -> searched.scope().description()),
-        evaluation.map(this::candidates).orElse(List.of()),
-        outcome);
+        candidates,
+        outcome,
+        basis);
   }
 
   private static RequestExplanation.Limit limit(RateLimitSnapshot state, boolean usedUp) {
     return new RequestExplanation.Limit(
-        state.limitPerSecond(), state.demandPerSecond(), state.instances(), state.share(), usedUp);
+        state.limitPerSecond(),
+        Optional.of(state.demandPerSecond()),
+        Optional.of(state.instances()),
+        state.share(),
+        usedUp);
   }
 
   private static RequestExplanation.Capacity capacity(Assessment assessment) {
@@ -138,7 +161,6 @@
       StepEvaluation evaluation, ServerSearch.Result searched, int rank) {
     ServerChoice.Candidate candidate = searched.candidates().get(rank);
     ServerState server = candidate.server();
-    ServerRegistration registration = server.registration();
     boolean best = searched.chosen().filter(chosen -> chosen.server() == server).isPresent();
     boolean taken = best && evaluation.sentTo().isPresent();
     Optional<Double> expected =
@@ -159,6 +181,16 @@
     if (best && !taken) {
       reason += ", but the servers have no room for the request";
     }
+    return candidate(server, expected, taken, reason);
+  }
+
+  private RequestExplanation.Candidate candidate(ServerPool.Excluded excluded) {
+    return candidate(excluded.server(), Optional.empty(), false, excluded.exclusion().reason());
+  }
+
+  private RequestExplanation.Candidate candidate(
+      ServerState server, Optional<Double> expectedLatencyRatio, boolean taken, String reason) {
+    ServerRegistration registration = server.registration();
     return new RequestExplanation.Candidate(
         registration.identifier(),
         registration.zone(),
@@ -170,7 +202,7 @@
         server.latencyRatio(nowNanoseconds),
         server.failureRatio(nowNanoseconds),
         server.reportAge(nowNanoseconds).map(Duration::toMillis),
-        expected,
+        expectedLatencyRatio,
         taken,
         reason);
   }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/RequestExplanation.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/RequestExplanation.java
@@ -1,5 +1,6 @@
 package org.corianderweir.logic.traffic;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.corianderweir.logic.admission.Assessment;
@@ -19,8 +20,11 @@
  * @param service the service that the request would be sent to
  * @param capacity the decision whether the servers have room; empty if the instance takes none
  * @param scope which servers were considered
- * @param candidates considered servers, the preferred one first
+ * @param candidates considered servers, the preferred one first, then those of the service that get
+ *     no requests, whatever their object
  * @param outcome what the instance would do
+ * @param basis the state that the explanation is based on; empty if the instance runs a version
+ *     that does not state it
  */
 public record RequestExplanation(
     String instance,
@@ -36,23 +40,37 @@
     Optional<Capacity> capacity,
     Optional<String> scope,
     List<Candidate> candidates,
-    Outcome outcome) {
+    Outcome outcome,
+    Optional<Basis> basis) {
   /** Copies the list. */
   public RequestExplanation {
     candidates = List.copyOf(candidates);
   }
 
+  /**
+   * The state that an explanation is based on.
+   *
+   * @param revision revision of the store that the instance has applied
+   * @param ageMilliseconds time since the store confirmed this state; empty if it never did
+   */
+  public record Basis(long revision, Optional<Long> ageMilliseconds) {}
+
   /**
    * The state of a rate limit.
    *
    * @param limitPerSecond limit over the whole fleet, in requests per second
-   * @param demandPerSecond demand on the instances that report it, in requests per second
-   * @param instances number of instances that report their demand
+   * @param demandPerSecond demand on the instances that report it, in requests per second; empty if
+   *     limits are not shared by demand
+   * @param instances number of instances that report their demand; empty likewise
    * @param share ratio of the limit that this instance may admit
    * @param usedUp whether a request would be rejected now
    */
   public record Limit(
-      double limitPerSecond, double demandPerSecond, int instances, double share, boolean usedUp) {}
+      double limitPerSecond,
+      Optional<Double> demandPerSecond,
+      Optional<Integer> instances,
+      double share,
+      boolean usedUp) {}
 
   /**
    * The decision whether the servers have room for the request.
@@ -111,7 +129,7 @@
    *
    * @param decision {@code send}, {@code wait}, {@code reject} or {@code fail}
    * @param server the server that would get the request
-   * @param reason why the request would be rejected
+   * @param reason why the request would be rejected: the name of the reason in the interface
    * @param retryAfterMilliseconds time after which the caller may try again
    * @param waitMilliseconds longest time until the instance decides again
    * @param status status of the response that the instance itself would give
@@ -119,7 +137,7 @@
   public record Outcome(
       String decision,
       Optional<String> server,
-      Optional<RejectionReason> reason,
+      Optional<String> reason,
       Optional<Long> retryAfterMilliseconds,
       Optional<Long> waitMilliseconds,
       Optional<Integer> status) {
@@ -133,7 +151,8 @@
           Optional.empty());
     }
 
-    static Outcome send(String server) {
+    /** Returns the outcome that a server gets the request. */
+    public static Outcome send(String server) {
       return new Outcome(
           "send",
           Optional.of(server),
@@ -143,7 +162,8 @@
           Optional.empty());
     }
 
-    static Outcome waiting(long milliseconds) {
+    /** Returns the outcome that the request waits at the instance. */
+    public static Outcome waiting(long milliseconds) {
       return new Outcome(
           "wait",
           Optional.empty(),
@@ -157,7 +177,7 @@
       return new Outcome(
           "reject",
           Optional.empty(),
-          Optional.of(reason),
+          Optional.of(reason.name()),
           Optional.of(retryAfterMilliseconds),
           Optional.empty(),
           Optional.empty());
@@ -188,6 +208,27 @@
         capacity,
         scope,
         candidates,
-        answered);
+        answered,
+        basis);
+  }
+
+  /** Returns the same explanation with the age of the state that it is based on. */
+  public RequestExplanation withAge(Optional<Duration> age) {
+    return new RequestExplanation(
+        instance,
+        region,
+        configurationVersion,
+        route,
+        organisation,
+        limit,
+        kind,
+        priority,
+        admission,
+        service,
+        capacity,
+        scope,
+        candidates,
+        outcome,
+        basis.map(known -> new Basis(known.revision(), age.map(Duration::toMillis))));
   }
 }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
@@ -2,12 +2,14 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.LongSummaryStatistics;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
@@ -46,6 +48,26 @@
   private final ReportOutbox outbox = new ReportOutbox();
   private FleetView view = FleetView.EMPTY;
 
+  /** Why a server gets no requests, whatever their object. */
+  enum Exclusion {
+    LEAVING("it said that it leaves"),
+    DRAINING("its registration says that it drains"),
+    EVACUATED("its availability zone is evacuated");
+
+    private final String reason;
+
+    Exclusion(String reason) {
+      this.reason = reason;
+    }
+
+    String reason() {
+      return reason;
+    }
+  }
+
+  /** A server that is not placed. */
+  record Excluded(ServerState server, Exclusion exclusion) {}
+
   ServerPool(FleetMember self, InstanceLocation location) {
     this.self = self;
     this.location = location;
@@ -269,17 +291,34 @@
   private Placement createPlacement(String service) {
     List<ServerState> usable = new ArrayList<>();
     for (ServerState server : servers.values()) {
-      ServerRegistration registration = server.registration();
-      if (registration.service().equals(service)
-          && !registration.draining()
-          && !server.isLeaving()
-          && !view.evacuatedZones().contains(registration.zone())) {
+      if (server.registration().service().equals(service) && exclusion(server).isEmpty()) {
         usable.add(server);
       }
     }
     return new Placement(usable);
   }
 
+  private Optional<Exclusion> exclusion(ServerState server) {
+    if (server.isLeaving()) {
+      return Optional.of(Exclusion.LEAVING);
+    }
+    if (server.registration().draining()) {
+      return Optional.of(Exclusion.DRAINING);
+    }
+    return view.evacuatedZones().contains(server.registration().zone())
+        ? Optional.of(Exclusion.EVACUATED)
+        : Optional.empty();
+  }
+
+  /** Returns the servers of a service that are not placed, ordered by identifier. */
+  List<Excluded> excluded(String service) {
+    return servers.values().stream()
+        .filter(server -> server.registration().service().equals(service))
+        .sorted(Comparator.comparing(server -> server.registration().identifier()))
+        .flatMap(server -> exclusion(server).map(reason -> new Excluded(server, reason)).stream())
+        .toList();
+  }
+
   private static boolean isDifferentServer(
       ServerRegistration known, ServerRegistration registration) {
     return known.startedMilliseconds() != registration.startedMilliseconds()
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerSearch.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerSearch.java
@@ -29,6 +29,7 @@
     UNRESPONSIVE("its requests in progress have had no response for long"),
     FULL("its queue is full"),
     HOLDS_LARGE_BODIES("this instance has the allowed number of large bodies in progress there"),
+    PAUSING("it asked for a pause"),
     CLOSED("it accepts no new requests"),
     RETURNING("it returns from a pause and is filled slowly"),
     TRIED("this request was sent to it before"),
@@ -175,6 +176,12 @@
     }
 
     private Verdict verdict(ServerState server, Strictness strictness) {
+      // First the reasons that hold at every strictness, which a report of a full queue can
+      // accompany.
+      ServerCondition condition = server.condition(nowNanoseconds);
+      if (condition.isClosed()) {
+        return condition instanceof ServerCondition.Pausing ? Verdict.PAUSING : Verdict.CLOSED;
+      }
       if (strictness != Strictness.LAST_RESORT && server.isEjected(nowNanoseconds)) {
         return Verdict.EJECTED;
       }
@@ -187,9 +194,6 @@
       if (strictness == Strictness.SPREAD && server.largeBodyCount() >= LARGE_BODIES_PER_SERVER) {
         return Verdict.HOLDS_LARGE_BODIES;
       }
-      if (server.condition(nowNanoseconds).isClosed()) {
-        return Verdict.CLOSED;
-      }
       if (!server.takesMoreAfterPause(nowNanoseconds)) {
         return Verdict.RETURNING;
       }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -192,8 +192,7 @@
    */
   public synchronized RequestExplanation explain(
       RequestAttributes attributes, long bodyBytes, String region, long nowNanoseconds) {
-    long version = view.index().map(index -> index.configuration().version()).orElse(0L);
-    RequestExplainer explainer = new RequestExplainer(self.name(), region, version, nowNanoseconds);
+    RequestExplainer explainer = new RequestExplainer(self.name(), region, view, nowNanoseconds);
     return switch (match(attributes, bodyBytes)) {
       case RouteMatch.None none -> explainer.unmatched(none.rejected());
       case RouteMatch.Found found -> {
@@ -221,7 +220,12 @@
             RandomGenerator random = new SplittableRandom(nowNanoseconds);
             StepEvaluation evaluation =
                 evaluate(admitted.request(), region, random, nowNanoseconds);
-            yield explainer.admitted(found, limit, admitted.request(), evaluation);
+            yield explainer.admitted(
+                found,
+                limit,
+                admitted.request(),
+                evaluation,
+                servers.excluded(admitted.request().service()));
           }
         };
       }
--- a/weirlib/src/main/java/org/corianderweir/model/traffic/FleetMember.java
+++ b/weirlib/src/main/java/org/corianderweir/model/traffic/FleetMember.java
@@ -11,6 +11,8 @@
  * @param region region of the availability zone
  * @param incarnation wall-clock time of its start, in milliseconds since the epoch
  * @param capacity processor capacity of its machine in cores
+ * @param metricsPort TCP port of its metrics and explanations; 0 if the instance runs a version
+ *     that does not tell it
  */
 public record FleetMember(
     String name,
@@ -20,7 +22,8 @@
     String zone,
     String region,
     long incarnation,
-    double capacity) {
+    double capacity,
+    int metricsPort) {
   /** Capacity of a member that does not say its own. */
   public static final double DEFAULT_CAPACITY = 1;
 
@@ -35,7 +38,20 @@
             : Math.clamp(capacity, SMALLEST_CAPACITY, LARGEST_CAPACITY);
   }
 
-  /** Creates a member with the default capacity. */
+  /** Creates a member that does not tell its metrics port. */
+  public FleetMember(
+      String name,
+      String host,
+      int callerPort,
+      int peerPort,
+      String zone,
+      String region,
+      long incarnation,
+      double capacity) {
+    this(name, host, callerPort, peerPort, zone, region, incarnation, capacity, 0);
+  }
+
+  /** Creates a member with the default capacity that does not tell its metrics port. */
   public FleetMember(
       String name,
       String host,
--- a/weirlib/src/main/java/org/corianderweir/protocol/Json.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/Json.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
@@ -29,6 +30,13 @@
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
           .build();
 
+  private static final ObjectReader READER = MAPPER.reader();
+
+  private static final ObjectReader OTHER_VERSION_READER =
+      READER
+          .without(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+          .without(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES);
+
   private Json() {}
 
   /**
@@ -63,8 +71,22 @@
    * @throws WeirException with code {@code JSON_INVALID} if the text is not JSON of this type
    */
   public static <T> T read(String text, Class<T> type) {
+    return parse(text, type, READER);
+  }
+
+  /**
+   * Parses a value that a program of another version may have written. Fields that only the writer
+   * knows are ignored, and components of type {@link Optional} may be missing.
+   *
+   * @throws WeirException with code {@code JSON_INVALID} if the text is not JSON of this type
+   */
+  public static <T> T readOtherVersion(String text, Class<T> type) {
+    return parse(text, type, OTHER_VERSION_READER);
+  }
+
+  private static <T> T parse(String text, Class<T> type, ObjectReader reader) {
     try {
-      T value = MAPPER.readValue(text, type);
+      T value = reader.forType(type).readValue(text);
       if (value == null) {
         throw new WeirException(ErrorCode.JSON_INVALID, "null is not a " + type.getSimpleName());
       }
--- a/weirlib/src/main/java/org/corianderweir/protocol/operator/ExplainMessages.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/operator/ExplainMessages.java
@@ -14,4 +14,11 @@
    *     has no key
    */
   public record SampleRequest(String path, Optional<String> organisation) {}
+
+  /**
+   * A sample request with its access key.
+   *
+   * @param key access key of the request; empty if it has none
+   */
+  public record ExplainedRequest(RequestSample sample, Optional<String> key) {}
 }
--- a/weirlib/src/main/java/org/corianderweir/protocol/operator/Operations.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/operator/Operations.java
@@ -3,6 +3,7 @@
 import org.corianderweir.logic.configuration.ConfigurationDifference;
 import org.corianderweir.logic.steering.explain.DryRunReport;
 import org.corianderweir.logic.steering.explain.Explanation;
+import org.corianderweir.logic.traffic.RequestExplanation;
 import org.corianderweir.model.configuration.Configuration;
 import org.corianderweir.protocol.OperatorMessages;
 
@@ -215,5 +216,11 @@
   public static final Operation<ExplainMessages.SampleRequest, Explanation> EXPLAIN =
       Operation.post("/explain", ExplainMessages.SampleRequest.class, Explanation.class);
 
+  /** Explains what the entry instance that receives the request would do with a request. */
+  public static final Operation<ExplainMessages.ExplainedRequest, RequestExplanation>
+      EXPLAIN_REQUEST =
+          Operation.post(
+              "/explain/request", ExplainMessages.ExplainedRequest.class, RequestExplanation.class);
+
   private Operations() {}
 }
--- a/weirlib/src/main/java/org/corianderweir/protocol/operator/RequestSample.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/operator/RequestSample.java
@@ -10,7 +10,7 @@
  * @param path path of the request without the query
  * @param object key of the object that the request concerns
  * @param region region from which the request is taken to arrive; that of the instance if empty
- * @param method method of the request; does not decide anything at present
+ * @param method method of the request; decides nothing at an instance with {@code --platform}
  * @param bodyBytes length of the body
  * @param deadlineMilliseconds how long the caller waits; the timeout of the route if empty
  */
--- a/weirlib/src/test/java/org/corianderweir/logic/delivery/ServerSelectionTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/delivery/ServerSelectionTest.java
@@ -57,6 +57,27 @@
     assertEquals(List.copyOf(chosen), expected);
   }
 
+  /** An explanation gave another reason than the one for which a server was passed over. */
+  @Test
+  public void verdictsNameWhyAServerCannotBeChosen() {
+    ServerHealth starting = new ServerHealth(NOW_NANOSECONDS);
+    assertEquals(
+        ServerSelection.verdicts(
+            List.of(
+                candidate(0, new ServerCase(0, 0, false)),
+                candidate(1, new ServerCase(4, 0, false)),
+                candidate(2, new ServerCase(0, 0, true)),
+                candidate(3, new ServerCase(0, 5, false)),
+                new ServerSelection.Candidate<>(4, 4, 3, starting)),
+            NOW_NANOSECONDS),
+        List.of(
+            ServerSelection.Verdict.AVAILABLE,
+            ServerSelection.Verdict.FULL,
+            ServerSelection.Verdict.OVERLOADED,
+            ServerSelection.Verdict.EJECTED,
+            ServerSelection.Verdict.COLD));
+  }
+
   private static ServerSelection.Candidate<Integer> candidate(int index, ServerCase given) {
     ServerHealth health = new ServerHealth(0);
     for (int failure = 0; failure < given.failures(); failure++) {
