--- a/weirlib/src/main/java/org/corianderweir/logic/delivery/ServerSelection.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/delivery/ServerSelection.java
@@ -52,18 +52,19 @@
    * candidates are ejected, so that faulty measurements cannot take a whole zone out of service.
    */
   public static <T> List<Verdict> verdicts(List<Candidate<T>> candidates, long nowNanoseconds) {
-    long ejected =
-        candidates.stream()
-            .filter(candidate -> candidate.health().isEjected(nowNanoseconds))
-            .count();
-    boolean tooManyEjected = 2 * ejected > candidates.size();
-    return candidates.stream()
-        .map(
-            candidate ->
-                !tooManyEjected && candidate.health().isEjected(nowNanoseconds)
-                    ? Verdict.EJECTED
-                    : verdict(candidate, nowNanoseconds))
-        .toList();
+    int ejectedCount = 0;
+    for (Candidate<T> candidate : candidates) {
+      ejectedCount += candidate.health().isEjected(nowNanoseconds) ? 1 : 0;
+    }
+    boolean tooManyEjected = 2 * ejectedCount > candidates.size();
+    List<Verdict> verdicts = new ArrayList<>(candidates.size());
+    for (Candidate<T> candidate : candidates) {
+      verdicts.add(
+          !tooManyEjected && candidate.health().isEjected(nowNanoseconds)
+              ? Verdict.EJECTED
+              : verdict(candidate, nowNanoseconds));
+    }
+    return verdicts;
   }
 
   /**
