ExplainFleetTest: a time-out on a busy machine reaches no second server

A request whose server answers after the route's timeout of 2 s would be sent again, and the test would see two servers. The timeout is 60 s now.

--- a/weirbench/src/test/java/org/corianderweir/bench/metadata/ExplainFleetTest.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/metadata/ExplainFleetTest.java
@@ -63,6 +63,9 @@
     servers.addAll(fixture.servers());
     pausing.setFault(ServerStandIn.Fault.PAUSES);
     full.setFault(ServerStandIn.Fault.FULL);
+    // A request that timed out on a busy machine would reach a second server.
+    String patient = StoreValues.configuration(2, 1_000).replace(",2000,600,", ",60000,600,");
+    fixture.store().put("op/config", patient);
     for (ServerStandIn server : unusual) {
       server.start();
       servers.add(server);
@@ -183,6 +186,7 @@
           Json.read(get(instance, FleetListing.ENDPOINT_PATH).bodyText(), FleetListing.class);
       String metrics = get(instance, "/metrics").bodyText();
       return listing.instances().size() == 3
+          && explain(instance, "object").configurationVersion() == 2
           && metrics.contains("corianderweir_servers_draining 1\n")
           && metrics.contains("corianderweir_servers_cold 1\n")
           && metrics.contains("corianderweir_servers_healthy 4\n");
