--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/RequestExplainer.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/RequestExplainer.java
@@ -16,6 +16,7 @@
   private final String region;
   private final long configurationVersion;
   private final Optional<RequestExplanation.Basis> basis;
+  private final ServerPool servers;
   private final long nowNanoseconds;
 
   /**
@@ -24,12 +25,15 @@
    * @param instance name of this instance
    * @param region region from which the request is taken to arrive
    * @param view what this instance knows of the fleet
+   * @param servers the servers and their state
    */
-  RequestExplainer(String instance, String region, FleetView view, long nowNanoseconds) {
+  RequestExplainer(
+      String instance, String region, FleetView view, ServerPool servers, long nowNanoseconds) {
     this.instance = instance;
     this.region = region;
     configurationVersion = view.index().map(index -> index.configuration().version()).orElse(0L);
     basis = Optional.of(new RequestExplanation.Basis(view.revision(), Optional.empty()));
+    this.servers = servers;
     this.nowNanoseconds = nowNanoseconds;
   }
 
@@ -70,21 +74,19 @@
    * Explains the next step of an admitted request.
    *
    * @param evaluation the step and its grounds
-   * @param excluded servers of the service that get no requests
    */
   RequestExplanation admitted(
       RouteMatch.Found match,
       Optional<RateLimitSnapshot> limit,
       AdmittedRequest request,
-      StepEvaluation evaluation,
-      List<ServerPool.Excluded> excluded) {
+      StepEvaluation evaluation) {
     return matched(
         match,
         limit.map(state -> limit(state, false)),
         "admitted",
         Optional.of(request.service()),
         Optional.of(evaluation),
-        excluded,
+        servers.excluded(request.service()),
         outcome(evaluation.step()));
   }
 
