--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreOutage.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreOutage.java
@@ -14,6 +14,9 @@
   /** Deputies after this one retry as rarely as it does while the store does not answer. */
   private static final int LARGEST_RETRY_RANK = 4;
 
+  /** In a shorter outage, leases do not expire. */
+  private static final Duration MINIMUM_LEASE_EXPIRY_OUTAGE = Duration.ofMillis(1_000);
+
   private final EventLog events;
   private Duration retryDelay = INITIAL_RETRY_DELAY;
   private Optional<Long> startNanoseconds = Optional.empty();
@@ -51,6 +54,11 @@
     return outage;
   }
 
+  /** Returns whether leases may have expired in an outage that lasted for a time. */
+  static boolean mayExpireLeases(Duration outage) {
+    return outage.compareTo(MINIMUM_LEASE_EXPIRY_OUTAGE) >= 0;
+  }
+
   /** Records that the store answered. */
   void resetRetryDelay() {
     retryDelay = INITIAL_RETRY_DELAY;
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreWatcher.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreWatcher.java
@@ -61,9 +61,6 @@
   /** Shortest time between two decisions whether to watch. */
   private static final Duration MINIMUM_CHECK_DELAY = Duration.ofMillis(50);
 
-  /** In a shorter outage, leases do not expire. */
-  private static final Duration MINIMUM_LEASE_EXPIRY_OUTAGE = Duration.ofMillis(1_000);
-
   private final MetadataStore store;
   private final TaskScheduler controlExecutor;
   private final EventLog events;
@@ -388,7 +385,7 @@
     if (outage.isPresent()) {
       long now = time.monotonicNanoseconds();
       Duration lasted = outage.end("store", now);
-      if (lasted.compareTo(MINIMUM_LEASE_EXPIRY_OUTAGE) >= 0) {
+      if (StoreOutage.mayExpireLeases(lasted)) {
         facts.storeRecovered(now);
         follower.storeRecovered(now);
       }
