--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreWatcher.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/StoreWatcher.java
@@ -61,9 +61,6 @@
   /** Shortest time between two decisions whether to watch. */
   private static final Duration MINIMUM_CHECK_DELAY = Duration.ofMillis(50);
 
-  /** In a shorter outage, leases do not expire. */
-  private static final Duration MINIMUM_LEASE_EXPIRY_OUTAGE = Duration.ofMillis(1_000);
-
   private final MetadataStore store;
   private final TaskScheduler controlExecutor;
   private final EventLog events;
@@ -75,7 +72,7 @@
   private final StoreOutage outage;
   private final UnreadableItemLog unreadableItems;
   private Optional<StoreUpdates> updates = Optional.empty();
-  private boolean listed;
+  private volatile boolean listed;
   private boolean listingNeeded;
 
   /** Whether changes could not be applied and were not read again since. */
@@ -136,6 +133,11 @@
     return decision.watches();
   }
 
+  /** Returns the time since the store confirmed the view; empty before. Thread-safe. */
+  public Optional<Duration> viewAge() {
+    return listed ? Optional.of(follower.age(time.monotonicNanoseconds())) : Optional.empty();
+  }
+
   /** Applies an update of another instance of the zone. */
   public void receive(String sender, StoreUpdate update) {
     if (listed && !stopped) {
@@ -383,7 +385,7 @@
     if (outage.isPresent()) {
       long now = time.monotonicNanoseconds();
       Duration lasted = outage.end("store", now);
-      if (lasted.compareTo(MINIMUM_LEASE_EXPIRY_OUTAGE) >= 0) {
+      if (StoreOutage.mayExpireLeases(lasted)) {
         facts.storeRecovered(now);
         follower.storeRecovered(now);
       }
