Measure the processor time of a start and of the first requests

`./weir bench start` starts an instance as deploy/system.toml does, beside peers, a store and two servers, and reads user and system time of its process after each phase.

--- a/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/BenchMain.java
@@ -231,6 +231,7 @@
             Map.entry("soak", new SoakCommand()),
             Map.entry("bodies", new BodiesCommand()),
             Map.entry("clients", new ClientsCommand()),
+            Map.entry("start", new StartCommand()),
             Map.entry("training", new TrainingCommand()));
     JCommander commander = JCommander.newBuilder().programName("weirbench").build();
     commands.forEach(commander::addCommand);
--- a/weirbench/src/main/java/org/corianderweir/bench/process/ChildProcesses.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/process/ChildProcesses.java
@@ -3,6 +3,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.LinkedHashMap;
@@ -44,9 +45,20 @@
     command.add(classPath());
     command.add(mainClass.getName());
     command.addAll(arguments);
+    return start(name, command, Path.of("."));
+  }
+
+  /**
+   * Starts a program.
+   *
+   * @param command program and arguments
+   * @param directory working directory of the process
+   */
+  public Process start(String name, List<String> command, Path directory) {
     try {
       Process process =
           new ProcessBuilder(command)
+              .directory(directory.toFile())
               .redirectErrorStream(true)
               .redirectOutput(
                   ProcessBuilder.Redirect.appendTo(new File(logDirectory, name + ".log")))
--- a/weirbench/src/main/java/org/corianderweir/bench/process/ResourceUsage.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/process/ResourceUsage.java
@@ -29,6 +29,27 @@
     return new ResourceUsage(processorTime, residentBytes);
   }
 
+  /**
+   * Returns the processor time that the running threads of a process with a name have used.
+   *
+   * @param name the name that the system shows, at most 15 characters
+   */
+  public static Duration processorTimeOfThreads(Process process, String name) {
+    Path tasks = Path.of("/proc", Long.toString(process.pid()), "task");
+    try (Stream<Path> threads = Files.list(tasks)) {
+      long nanoseconds = 0;
+      for (Path thread : threads.toList()) {
+        if (Files.readString(thread.resolve("comm")).strip().equals(name)) {
+          nanoseconds +=
+              Long.parseLong(Files.readString(thread.resolve("schedstat")).split(" ", 2)[0]);
+        }
+      }
+      return Duration.ofNanos(nanoseconds);
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
   private static long residentBytes(long processIdentifier) {
     try (Stream<String> lines =
         Files.lines(Path.of("/proc", Long.toString(processIdentifier), "status"))) {
