Write the log lines of requests without parsing formats

Each request writes at least two log lines, and each line went through String.format twice and through the formatter of instants.

The lines are the same, except that a negative number that rounds to zero has no sign.

--- a/weirdaemon/src/main/java/org/corianderweir/daemon/control/EventLog.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/control/EventLog.java
@@ -1,6 +1,8 @@
 package org.corianderweir.daemon.control;
 
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import org.corianderweir.kernel.Service;
 import org.corianderweir.kernel.ServiceDirectory;
 import org.corianderweir.kernel.ServiceName;
@@ -20,6 +22,9 @@
   private static final int RING_CAPACITY_EVENTS = 4096;
   private static final int DETAIL_LIMIT_CHARACTERS = 1_000;
 
+  /** The beginning of the log line of each event; all numbers have four digits. */
+  private static final Map<EventCode, String> EVENT_PREFIXES = prefixes();
+
   private final HybridLogicalClock clock = new HybridLogicalClock();
   private final EventRing ring;
   private final TimeSource time;
@@ -34,14 +39,27 @@
   public void record(EventCode code, String subject, String detail) {
     String text = limitDetail(detail);
     TimelineEvent event = ring.record(code, subject, text, time.wallMilliseconds());
-    LOGGER.logf(
-        level(code),
-        "event=WEIR-%04d title=\"%s\" subject=%s process=%s %s",
-        code.number(),
-        code.title(),
-        subject,
-        event.process(),
-        text);
+    Logger.Level level = level(code);
+    if (LOGGER.isEnabled(level)) {
+      // Plain concatenation: most events concern a request, and parsing a format costs more.
+      LOGGER.log(
+          level,
+          EVENT_PREFIXES.get(code)
+              + " subject="
+              + subject
+              + " process="
+              + event.process()
+              + ' '
+              + text);
+    }
+  }
+
+  private static Map<EventCode, String> prefixes() {
+    Map<EventCode, String> prefixes = new EnumMap<>(EventCode.class);
+    for (EventCode code : EventCode.values()) {
+      prefixes.put(code, "event=WEIR-" + code.number() + " title=\"" + code.title() + '"');
+    }
+    return prefixes;
   }
 
   /** Shortens a detail and replaces line breaks, because it may repeat a text from outside. */
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.corianderweir.daemon.control.EventLog;
-import org.corianderweir.logic.admission.Assessment;
 import org.corianderweir.logic.traffic.Admission;
 import org.corianderweir.logic.traffic.AdmittedRequest;
 import org.corianderweir.logic.traffic.FleetView;
@@ -73,19 +72,17 @@
 
   void rejected(RequestAttributes attributes, Admission.Rejected rejected, int status) {
     count("requests.rejected." + rejected.reason());
-    events.record(
-        EventCode.REQUEST_REFUSED,
-        sanitize(attributes.identifier()),
-        "reason=%s status=%d host=%s path=%s revision=%d queued=%d wait=%d%s"
-            .formatted(
-                rejected.reason(),
-                status,
-                sanitize(attributes.host()),
-                sanitize(attributes.path()),
-                revision,
-                attributes.queueTime().toMillis(),
-                rejected.retryAfter().toMillis(),
-                rejected.rateLimit().map(RequestLog::describe).orElse("")));
+    LogFields fields =
+        new LogFields()
+            .add("reason", rejected.reason().toString())
+            .add("status", status)
+            .add("host", sanitize(attributes.host()))
+            .add("path", sanitize(attributes.path()))
+            .add("revision", revision)
+            .add("queued", attributes.queueTime().toMillis())
+            .add("wait", rejected.retryAfter().toMillis());
+    rejected.rateLimit().ifPresent(snapshot -> addTo(fields, snapshot));
+    events.record(EventCode.REQUEST_REFUSED, sanitize(attributes.identifier()), fields.toString());
   }
 
   /** Counts how old the report was by which a server was chosen. */
@@ -105,40 +102,38 @@
     String name = outcome.getClass().getSimpleName();
     count("sends." + name);
     count("sends.class" + request.priority());
+    LogFields fields =
+        new LogFields()
+            .add("server", server.registration().identifier())
+            .add("zone", server.registration().zone())
+            .add("outcome", name);
+    if (outcome instanceof SendOutcome.Lost lost) {
+      fields.add("reason", '"' + lost.reason().replace('"', '\'') + '"');
+    }
+    fields
+        .add("send", request.sendCount())
+        .add("rank", request.rank())
+        .add("affinity", request.attributes().affinityKey().map(RequestLog::sanitize).orElse(""))
+        .add("load", server.load(nowNanoseconds), 1)
+        .add("slots", server.registration().slots())
+        .add("speed", Math.round(PERCENT * server.speedRatio(nowNanoseconds)))
+        .add("report", age(server.reportAge(nowNanoseconds)))
+        .add("body", request.bodyBytes())
+        .add("bodies", server.bodyBytesInProgress())
+        .add("failures", server.failureRatio(nowNanoseconds), 2)
+        .add("queued", request.attributes().queueTime().toMillis())
+        .add("took", milliseconds(nowNanoseconds - sentNanoseconds))
+        .add("class", request.priority());
+    request
+        .assessment()
+        .ifPresent(
+            assessment ->
+                fields
+                    .add("cause", assessment.cause().toString())
+                    .add("expected", milliseconds(assessment.expectedTime()))
+                    .add("wait", milliseconds(assessment.expectedWait())));
     events.record(
-        EventCode.REQUEST_SENT,
-        sanitize(request.attributes().identifier()),
-        ("server=%s zone=%s outcome=%s send=%d rank=%d affinity=%s "
-                + "load=%.1f slots=%d speed=%d report=%s body=%d bodies=%d failures=%.2f "
-                + "queued=%d took=%d class=%d%s")
-            .formatted(
-                server.registration().identifier(),
-                server.registration().zone(),
-                outcome instanceof SendOutcome.Lost lost
-                    ? name + " reason=\"" + lost.reason().replace('"', '\'') + '"'
-                    : name,
-                request.sendCount(),
-                request.rank(),
-                request.attributes().affinityKey().map(RequestLog::sanitize).orElse(""),
-                server.load(nowNanoseconds),
-                server.registration().slots(),
-                Math.round(PERCENT * server.speedRatio(nowNanoseconds)),
-                age(server.reportAge(nowNanoseconds)),
-                request.bodyBytes(),
-                server.bodyBytesInProgress(),
-                server.failureRatio(nowNanoseconds),
-                request.attributes().queueTime().toMillis(),
-                milliseconds(nowNanoseconds - sentNanoseconds),
-                request.priority(),
-                request.assessment().map(RequestLog::describeSent).orElse("")));
-  }
-
-  private static String describeSent(Assessment assessment) {
-    return " cause=%s expected=%d wait=%d"
-        .formatted(
-            assessment.cause(),
-            milliseconds(assessment.expectedTime()),
-            milliseconds(assessment.expectedWait()));
+        EventCode.REQUEST_SENT, sanitize(request.attributes().identifier()), fields.toString());
   }
 
   /** Logs that a request waits at this instance for room at the servers. */
@@ -158,31 +153,31 @@
   private void recordRoom(
       AdmittedRequest request, String decision, long waitNanoseconds, long nowNanoseconds) {
     count("requests.room." + decision + ".class" + request.priority());
+    LogFields fields =
+        new LogFields()
+            .add("decision", decision)
+            .add("for", milliseconds(waitNanoseconds))
+            .add("class", request.priority())
+            .add("service", request.service())
+            .add("organisation", request.organisationName())
+            .add("left", milliseconds(request.deadlineNanoseconds() - nowNanoseconds));
+    request
+        .assessment()
+        .ifPresent(
+            assessment ->
+                fields
+                    .add("cause", assessment.cause().toString())
+                    .add("expected", milliseconds(assessment.expectedTime()))
+                    .add("wait", milliseconds(assessment.expectedWait()))
+                    .add("allowed", milliseconds(assessment.allowedWait()))
+                    .add("free", assessment.freeSlots(), 1)
+                    .add("report", assessment.reportWeight(), 2)
+                    .add("late", assessment.lateShare(), 2)
+                    .add("pool-wait", milliseconds(assessment.reportedWait())));
     events.record(
         EventCode.REQUEST_WITHOUT_ROOM,
         sanitize(request.attributes().identifier()),
-        "decision=%s for=%d class=%d service=%s organisation=%s left=%d %s"
-            .formatted(
-                decision,
-                milliseconds(waitNanoseconds),
-                request.priority(),
-                request.service(),
-                request.organisationName(),
-                milliseconds(request.deadlineNanoseconds() - nowNanoseconds),
-                request.assessment().map(RequestLog::describeAssessment).orElse("")));
-  }
-
-  private static String describeAssessment(Assessment assessment) {
-    return "cause=%s expected=%d wait=%d allowed=%d free=%.1f report=%.2f late=%.2f pool-wait=%d"
-        .formatted(
-            assessment.cause(),
-            milliseconds(assessment.expectedTime()),
-            milliseconds(assessment.expectedWait()),
-            milliseconds(assessment.allowedWait()),
-            assessment.freeSlots(),
-            assessment.reportWeight(),
-            assessment.lateShare(),
-            milliseconds(assessment.reportedWait()));
+        fields.toString());
   }
 
   /** Logs what an answer, or its lack, has changed in what is believed of a server. */
@@ -213,23 +208,21 @@
     long latencyNanoseconds = nowNanoseconds - request.arrivedNanoseconds();
     count("requests.status." + status);
     metrics.timer("requests.time").update(Duration.ofNanos(latencyNanoseconds));
+    LogFields fields =
+        new LogFields()
+            .add("status", status)
+            .add("may-have-run", request.mayHaveRun())
+            .add("sends", request.sendCount())
+            .add("route", request.route().name())
+            .add("service", request.service())
+            .add("organisation", request.organisation().map(CallerOrganisation::name).orElse(""))
+            .add("version", request.configurationVersion())
+            .add("revision", revision)
+            .add("queued", request.attributes().queueTime().toMillis())
+            .add("took", milliseconds(latencyNanoseconds))
+            .add("left", milliseconds(request.deadlineNanoseconds() - nowNanoseconds));
     events.record(
-        EventCode.REQUEST_ANSWERED,
-        sanitize(request.attributes().identifier()),
-        ("status=%d may-have-run=%s sends=%d route=%s service=%s organisation=%s"
-                + " version=%d revision=%d queued=%d took=%d left=%d")
-            .formatted(
-                status,
-                request.mayHaveRun(),
-                request.sendCount(),
-                request.route().name(),
-                request.service(),
-                request.organisation().map(CallerOrganisation::name).orElse(""),
-                request.configurationVersion(),
-                revision,
-                request.attributes().queueTime().toMillis(),
-                milliseconds(latencyNanoseconds),
-                milliseconds(request.deadlineNanoseconds() - nowNanoseconds)));
+        EventCode.REQUEST_ANSWERED, sanitize(request.attributes().identifier()), fields.toString());
   }
 
   /** Logs an error in the handling of a request that should not occur. */
@@ -261,26 +254,27 @@
     if (!mayHaveRun) {
       count("requests.abandoned.unsent");
     }
-    events.record(
-        EventCode.CALLER_LEFT,
-        sanitize(attributes.identifier()),
-        "may-have-run=%s sends=%d queued=%d took=%d"
-            .formatted(mayHaveRun, sends, attributes.queueTime().toMillis(), tookMilliseconds));
+    LogFields fields =
+        new LogFields()
+            .add("may-have-run", mayHaveRun)
+            .add("sends", sends)
+            .add("queued", attributes.queueTime().toMillis())
+            .add("took", tookMilliseconds);
+    events.record(EventCode.CALLER_LEFT, sanitize(attributes.identifier()), fields.toString());
   }
 
   private void count(String name) {
     metrics.counter(name).inc();
   }
 
-  private static String describe(RateLimitSnapshot snapshot) {
-    return " organisation=%s limit=%.1f asked=%.1f instances=%d part=%.3f digest=%s"
-        .formatted(
-            snapshot.organisation(),
-            snapshot.limitPerSecond(),
-            snapshot.demandPerSecond(),
-            snapshot.instances(),
-            snapshot.share(),
-            age(snapshot.digestAge()));
+  private static void addTo(LogFields fields, RateLimitSnapshot snapshot) {
+    fields
+        .add("organisation", snapshot.organisation())
+        .add("limit", snapshot.limitPerSecond(), 1)
+        .add("asked", snapshot.demandPerSecond(), 1)
+        .add("instances", snapshot.instances())
+        .add("part", snapshot.share(), 3)
+        .add("digest", age(snapshot.digestAge()));
   }
 
   private static String age(Optional<Duration> age) {
