Record the class archive in a run with changes, faults and all kinds of requests

The run that records the archive had no change of the configuration, no fault of a server, no shared reports and no loss of a peer, so the classes and lambdas for these were loaded from the jar and linked when they were first needed.

The platform of the recording changes its configuration and the behaviour of a server every 400 ms, servers report their speed, all four kinds of requests are sent, and the peer ends halfway.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -73,12 +73,19 @@
 send 27587 'GET /api/readiness HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n'
 send 27588 'GET /api/resolve?name=rota.example&region=north&zone=north-a HTTP/1.1\r\nHost: all\r\nConnection: close\r\n\r\n'
 send 27590 'GET /metrics HTTP/1.1\r\nHost: metrics\r\nConnection: close\r\n\r\n'
-for number in 1 2 3 4 5; do
+for number in $(seq 12); do
+  # The second half runs without the peer, so that the recorder watches the store itself.
+  if [ "$number" = 7 ]; then
+    kill "$peer" 2>/dev/null || true
+  fi
   send 27586 "GET /read/x HTTP/1.1\r\nRequest-Id: read-$number\r\n$head\r\n"
+  send 27586 "GET /read/x HTTP/1.1\r\nRequest-Id: both-$number\r\nHost: rota.example\r\nX-Api-Key: key-1\r\n\r\nGET /fetch/x HTTP/1.1\r\nRequest-Id: fetch-$number\r\n$head\r\n"
   send 27586 "POST /book/x HTTP/1.1\r\nRequest-Id: book-$number\r\nContent-Length: 4\r\n$head\r\nbody"
-  send 27586 "POST /book/x HTTP/1.1\r\nRequest-Id: chunk-$number\r\nTransfer-Encoding: chunked\r\n$head\r\n4\r\nbody\r\n0\r\n\r\n"
+  send 27586 "POST /send/x HTTP/1.1\r\nRequest-Id: chunk-$number\r\nTransfer-Encoding: chunked\r\n$head\r\n4\r\nbody\r\n0\r\n\r\n"
+  sleep 0.3
 done
 send 27586 "GET /read/x HTTP/1.1\r\nRequest-Id: no-key\r\nHost: rota.example\r\nConnection: close\r\n\r\n"
+send 27586 "GET /none HTTP/1.1\r\nRequest-Id: no-route\r\n$head\r\n"
 kill "$recorder" 2>/dev/null || true
 wait "$recorder" || true
 kill "$peer" "$platform" 2>/dev/null || true
--- a/weirbench/src/main/java/org/corianderweir/bench/TrainingCommand.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/TrainingCommand.java
@@ -1,7 +1,6 @@
 package org.corianderweir.bench;
 
 import com.beust.jcommander.Parameter;
-import java.util.concurrent.CountDownLatch;
 import org.corianderweir.bench.training.TrainingPlatform;
 
 /**
@@ -15,7 +14,7 @@
   public int run() throws InterruptedException {
     try (TrainingPlatform platform = new TrainingPlatform(storePort)) {
       platform.start();
-      new CountDownLatch(1).await();
+      platform.changeRepeatedly();
       return 0;
     }
   }
--- a/weirbench/src/main/java/org/corianderweir/bench/metadata/ServerStandIn.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/metadata/ServerStandIn.java
@@ -28,6 +28,7 @@
   private final List<HttpRequest> executedRequests = new CopyOnWriteArrayList<>();
   private final Queue<CompletableFuture<Void>> heldRequests = new ConcurrentLinkedQueue<>();
   private volatile Fault fault = Fault.NONE;
+  private volatile String load = "1,0,3";
 
   /** The faults of the server. */
   public enum Fault {
@@ -86,6 +87,11 @@
     fault = newFault;
   }
 
+  /** Sets the load that answers report from now on. */
+  public void setLoad(String newLoad) {
+    load = newLoad;
+  }
+
   /** Returns the requests that the server ran. */
   public List<HttpRequest> executedRequests() {
     return List.copyOf(executedRequests);
@@ -143,7 +149,7 @@
       return respond(STATUS_OK, headers);
     }
     int status = fault == Fault.FAILS ? STATUS_INTERNAL_ERROR : STATUS_OK;
-    HttpHeaders signed = headers.with("Server-Stamp", identifier).with("Server-Load", "1,0,3");
+    HttpHeaders signed = headers.with("Server-Stamp", identifier).with("Server-Load", load);
     if (fault == Fault.LEAVING) {
       return respond(STATUS_OK, signed.with("Server-Leaving", "1"));
     }
--- a/weirbench/src/main/java/org/corianderweir/bench/training/TrainingPlatform.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/training/TrainingPlatform.java
@@ -1,5 +1,6 @@
 package org.corianderweir.bench.training;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.corianderweir.bench.metadata.MetadataStoreStandIn;
@@ -9,7 +10,7 @@
 /**
  * A metadata store with a configuration and backend servers that answer at once. An entry instance
  * that is connected to it serves requests, so that a recording of its classes contains all that
- * serving needs.
+ * serving needs. The platform of a recording also changes, so that it contains what changes need.
  */
 public final class TrainingPlatform implements AutoCloseable {
   private static final String HOST = "127.0.0.1";
@@ -17,8 +18,27 @@
   private static final int SERVER_COUNT = 2;
   private static final double REQUESTS_PER_SECOND = 10_000;
 
+  private static final Duration CHANGE_INTERVAL = Duration.ofMillis(400);
+
+  /** A route of each of the other two kinds, beside those of {@link StoreValues}. */
+  private static final String FURTHER_ROUTES =
+      """
+      ["send","rota.example","/send/","upload",2000,600,2,null,1,false,true,[],"desk"],
+      ["fetch","rota.example","/fetch/","download",2000,600,2,null,2,false,true,[],"desk"],
+      """;
+
+  private static final List<ServerStandIn.Fault> FAULTS =
+      List.of(
+          ServerStandIn.Fault.NONE,
+          ServerStandIn.Fault.FULL,
+          ServerStandIn.Fault.FAILS,
+          ServerStandIn.Fault.UNSIGNED,
+          ServerStandIn.Fault.NONE,
+          ServerStandIn.Fault.PAUSES);
+
   private final MetadataStoreStandIn store;
   private final List<ServerStandIn> servers = new ArrayList<>();
+  private long version = 1;
 
   /**
    * Creates a platform that does not listen yet.
@@ -31,7 +51,7 @@
 
   /** Starts the servers and the store. */
   public void start() {
-    store.put("op/config", StoreValues.configuration(1, REQUESTS_PER_SECOND));
+    store.put("op/config", configuration());
     for (int number = 0; number < SERVER_COUNT; number++) {
       ServerStandIn server = new ServerStandIn("server-" + number, HOST, 0);
       server.start();
@@ -43,6 +63,22 @@
     store.start();
   }
 
+  /** Changes the configuration and the faults of a server until the thread is interrupted. */
+  public void changeRepeatedly() throws InterruptedException {
+    while (true) {
+      Thread.sleep(CHANGE_INTERVAL);
+      version++;
+      store.put("op/config", configuration());
+      servers.getFirst().setFault(FAULTS.get((int) (version % FAULTS.size())));
+      servers.forEach(server -> server.setLoad("1,0,3," + (100 + version)));
+    }
+  }
+
+  private String configuration() {
+    return StoreValues.configuration(version, REQUESTS_PER_SECOND)
+        .replace("\n[\"book\"", "\n" + FURTHER_ROUTES + "[\"book\"");
+  }
+
   /** Returns the port on which the store listens. */
   public int storePort() {
     return store.port();
