--- a/weirlib/src/main/java/org/corianderweir/logic/relay/RelayRanking.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/relay/RelayRanking.java
@@ -1,7 +1,6 @@
 package org.corianderweir.logic.relay;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import net.openhft.hashing.LongHashFunction;
 
@@ -21,8 +20,14 @@
     return instances.stream()
         .distinct()
         .sorted(
-            Comparator.<String>comparingLong(name -> HASH.hashChars(zone + '/' + name))
-                .thenComparing(Comparator.naturalOrder()))
+            (one, other) -> {
+              int byHash = Long.compare(hash(one, zone), hash(other, zone));
+              return byHash != 0 ? byHash : one.compareTo(other);
+            })
         .toList();
   }
+
+  private static long hash(String name, String zone) {
+    return HASH.hashChars(zone + '/' + name);
+  }
 }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/FleetFacts.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/FleetFacts.java
@@ -164,7 +164,7 @@
         }
       }
     }
-    members.sort(Comparator.comparing(FleetMember::name));
+    members.sort((one, other) -> one.name().compareTo(other.name()));
     return new FleetView(index, servers, evacuated, members, peerSecret, revision);
   }
 
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/Placement.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/Placement.java
@@ -1,7 +1,6 @@
 package org.corianderweir.logic.traffic;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -150,7 +149,7 @@
               candidate.server(),
               Hashing.rendezvousScore(keyHash, candidate.hash(), candidate.slots())));
     }
-    scored.sort(Comparator.comparingDouble(ScoredServer::score));
+    scored.sort((one, other) -> Double.compare(one.score(), other.score()));
     for (int index = 0; index < Math.min(count, scored.size()); index++) {
       target.add(scored.get(index).server());
     }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ReportCollector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ReportCollector.java
@@ -1,7 +1,6 @@
 package org.corianderweir.logic.traffic;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -68,7 +67,8 @@
     List<FleetMember> zone =
         members.stream()
             .filter(member -> member.zone().equals(self.zone()))
-            .sorted(Comparator.comparingLong(member -> Hashing.hash(member.name())))
+            .sorted(
+                (one, other) -> Long.compare(Hashing.hash(one.name()), Hashing.hash(other.name())))
             .toList();
     int size = zone.size();
     int groupCount = (size + GROUP_LIMIT - 1) / GROUP_LIMIT;
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerLoad.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The load that a server reports with a response. Each figure counts by itself.
@@ -50,6 +51,23 @@
         : OptionalInt.empty();
   }
 
+  // Written out: the generated method is linked by method handles at its first call, during the
+  // start of the process, and no class archive holds them.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof ServerLoad that
+        && running.equals(that.running)
+        && waiting.equals(that.waiting)
+        && slots.equals(that.slots)
+        && speedPercent.equals(that.speedPercent);
+  }
+
+  @Override
+  public int hashCode() {
+    return ((running.hashCode() * 31 + waiting.hashCode()) * 31 + slots.hashCode()) * 31
+        + speedPercent.hashCode();
+  }
+
   private static void requireInRange(OptionalInt figure, int smallest, int largest) {
     if (figure.isPresent() && (figure.getAsInt() < smallest || figure.getAsInt() > largest)) {
       throw new IllegalArgumentException("figure of a load out of range");
--- a/weirlib/src/main/java/org/corianderweir/model/traffic/FleetMember.java
+++ b/weirlib/src/main/java/org/corianderweir/model/traffic/FleetMember.java
@@ -1,5 +1,7 @@
 package org.corianderweir.model.traffic;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * An entry instance that accepts requests.
  *
@@ -63,6 +65,27 @@
     this(name, host, callerPort, peerPort, zone, region, incarnation, DEFAULT_CAPACITY);
   }
 
+  // Written out: the generated method is linked by method handles at its first call, during the
+  // start of the process, and no class archive holds them.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof FleetMember that
+        && name.equals(that.name)
+        && host.equals(that.host)
+        && callerPort == that.callerPort
+        && peerPort == that.peerPort
+        && zone.equals(that.zone)
+        && region.equals(that.region)
+        && incarnation == that.incarnation
+        && Double.compare(capacity, that.capacity) == 0
+        && metricsPort == that.metricsPort;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(incarnation) * 31 + name.hashCode();
+  }
+
   /** Returns the address for requests of callers as {@code host:port}. */
   public String callerAddress() {
     return host + ":" + callerPort;
