--- a/weirhttp/src/main/java/org/corianderweir/http/ConnectionGuard.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ConnectionGuard.java
@@ -6,8 +6,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.corianderweir.kernel.GuardedTask;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -41,6 +43,11 @@
   private final Map<Connection<?>, InetAddress> connections = new ConcurrentHashMap<>();
   private final Map<InetAddress, Integer> countByAddress = new ConcurrentHashMap<>();
   private final Map<Connection<?>, Long> writingSince = new HashMap<>();
+  private final AtomicBoolean sweepScheduled = new AtomicBoolean();
+  private final Runnable sweepTask =
+      new GuardedTask(
+          () -> closeOverdueConnections(System.nanoTime()),
+          failure -> LOGGER.warnf(failure, "can't close the connections of slow callers"));
   private final ScheduledThreadPoolExecutor sweeper;
   private final UnfinishedRequests unfinished;
 
@@ -69,20 +76,32 @@
             });
   }
 
-  void start() {
-    sweeper.scheduleWithFixedDelay(
-        new GuardedTask(
-            () -> closeOverdueConnections(System.nanoTime()),
-            failure -> LOGGER.warnf(failure, "can't close the connections of slow callers")),
-        SWEEP_PERIOD_MILLISECONDS,
-        SWEEP_PERIOD_MILLISECONDS,
-        TimeUnit.MILLISECONDS);
-  }
-
   void stop() {
     sweeper.shutdownNow();
   }
 
+  /**
+   * Schedules a sweep unless one is scheduled. Without connections and closures to log there are no
+   * sweeps: most listeners of an instance have no connection most of the time.
+   */
+  private void scheduleSweep() {
+    if (sweepScheduled.compareAndSet(false, true)) {
+      try {
+        sweeper.schedule(this::sweep, SWEEP_PERIOD_MILLISECONDS, TimeUnit.MILLISECONDS);
+      } catch (RejectedExecutionException stopped) {
+        LOGGER.debugf(stopped, "no sweep after the stop");
+      }
+    }
+  }
+
+  private void sweep() {
+    sweepTask.run();
+    sweepScheduled.set(false);
+    if (!connections.isEmpty() || unfinished.hasClosuresToLog()) {
+      scheduleSweep();
+    }
+  }
+
   /** Records that bytes of a request are parsed, which begins its time limit. */
   static void onBytesReceived(Connection<?> connection) {
     ACTIVITY.get(connection).onBytesReceived(System.nanoTime());
@@ -125,6 +144,7 @@
     int fromAddress = countByAddress.merge(address, 1, Integer::sum);
     ACTIVITY.set(connection, new ConnectionActivity(System.nanoTime()));
     connections.put(connection, address);
+    scheduleSweep();
     connection.addCloseListener((closeable, type) -> removeConnection(connection));
     boolean tooManyFromAddress = fromAddress > connectionLimitPerAddress;
     if ((tooManyFromAddress || connections.size() > connectionLimit)
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
@@ -91,7 +91,6 @@
       Connection<?> bound = transport.bind(options.host(), options.port());
       port = ((InetSocketAddress) bound.getLocalAddress()).getPort();
       transport.start();
-      guard.start();
     } catch (IOException failure) {
       throw new WeirException(
           ErrorCode.CONNECT_FAILED,
--- a/weirhttp/src/main/java/org/corianderweir/http/UnfinishedRequests.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/UnfinishedRequests.java
@@ -34,7 +34,8 @@
   private final Set<InboundStream> streams = ConcurrentHashMap.newKeySet();
   private final AtomicInteger unfinishedCount = new AtomicInteger();
   private final Map<ClosureCause, LongAdder> closures = new ConcurrentHashMap<>();
-  private Map<ClosureCause, Long> loggedClosures = Map.of();
+  private final LongAdder closureCount = new LongAdder();
+  private volatile long loggedClosureCount;
   private long loggedNanoseconds;
   private volatile Duration headTimeout;
 
@@ -65,6 +66,7 @@
 
   void count(ClosureCause cause) {
     closures.computeIfAbsent(cause, unused -> new LongAdder()).increment();
+    closureCount.increment();
   }
 
   void add(InboundStream stream) {
@@ -140,16 +142,16 @@
     return budget.limitBytes() > 0 && budget.reservedBytes() > budget.limitBytes() / 4 * 3;
   }
 
+  /** Returns whether connections were closed that no log line counts yet. */
+  boolean hasClosuresToLog() {
+    return closureCount.sum() > loggedClosureCount;
+  }
+
   private void log(long nowNanoseconds) {
-    if (nowNanoseconds - loggedNanoseconds < LOG_INTERVAL.toNanos()) {
-      return;
-    }
-    Map<ClosureCause, Long> present = closures();
-    if (present.values().stream().mapToLong(Long::longValue).sum()
-        > loggedClosures.values().stream().mapToLong(Long::longValue).sum()) {
-      LOGGER.warnf("%s: connections closed at limits until now: %s", name, present);
-      loggedClosures = present;
+    if (hasClosuresToLog() && nowNanoseconds - loggedNanoseconds >= LOG_INTERVAL.toNanos()) {
+      loggedClosureCount = closureCount.sum();
       loggedNanoseconds = nowNanoseconds;
+      LOGGER.warnf("%s: connections closed at limits until now: %s", name, closures());
     }
   }
 
--- a/weirhttp/src/test/java/org/corianderweir/http/ConnectionGuardTest.java
+++ b/weirhttp/src/test/java/org/corianderweir/http/ConnectionGuardTest.java
@@ -77,6 +77,18 @@
     }
   }
 
+  /** Without connections there are no sweeps; they must begin again with the next connection. */
+  @Test
+  public void slowCallerIsDisconnectedAfterATimeWithoutConnections() throws Exception {
+    for (int count = 0; count < 2; count++) {
+      try (Socket socket = new Socket("127.0.0.1", listener.port())) {
+        socket.getOutputStream().write("GET / HTTP/1.1\r\nHo".getBytes());
+        assertEquals(countClosed(List.of(socket)), 1);
+      }
+      Thread.sleep(TRANSFER_TIMEOUT.toMillis());
+    }
+  }
+
   @Test
   public void callersThatReadNoResponseDoNotAffectOthers() throws Exception {
     List<Socket> sockets = new ArrayList<>();
