Choose the few best servers of an object without sorting all

Each request hashed each server of the service twice, sorted all of them by their score, and used the first two or four. The part of the score that depends only on the server is kept now, and the first ones are inserted in order; the candidates are the same.

--- a/weirbench/src/main/java/org/corianderweir/bench/StartCommand.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/StartCommand.java
@@ -41,6 +41,9 @@
   @Parameter(names = "--peers", description = "number of other entry instances")
   private int peers = 2;
 
+  @Parameter(names = "--servers", description = "number of backend servers")
+  private int servers = 2;
+
   @Parameter(names = "--first-requests", description = "size of the first group of requests")
   private int firstRequests = 200;
 
@@ -71,6 +74,7 @@
         new StartExperiment(
             new StartExperiment.Options(
                 peers,
+                servers,
                 firstRequests,
                 nextRequests,
                 requestsPerSecond,
--- a/weirbench/src/main/java/org/corianderweir/bench/start/StartExperiment.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/start/StartExperiment.java
@@ -50,6 +50,7 @@
    * The sizes of an experiment.
    *
    * @param peerCount number of other entry instances
+   * @param serverCount number of backend servers
    * @param firstRequests number of requests of the first group
    * @param nextRequests number of requests of the second group
    * @param requestsPerSecond rate of both groups
@@ -59,6 +60,7 @@
    */
   public record Options(
       int peerCount,
+      int serverCount,
       int firstRequests,
       int nextRequests,
       int requestsPerSecond,
@@ -90,7 +92,7 @@
         new HttpClient(
             new HttpClientOptions("start", TIMEOUT, IDLE_LIFETIME, RESPONSE_LIMIT_BYTES)
                 .withConnectionsPerAddress(CONNECTION_LIMIT));
-    try (TrainingPlatform platform = new TrainingPlatform(0);
+    try (TrainingPlatform platform = new TrainingPlatform(0, options.serverCount());
         ChildProcesses processes = new ChildProcesses(directory.toFile())) {
       platform.start();
       client.start();
--- a/weirbench/src/main/java/org/corianderweir/bench/training/TrainingPlatform.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/training/TrainingPlatform.java
@@ -38,6 +38,7 @@
 
   private final MetadataStoreStandIn store;
   private final List<ServerStandIn> servers = new ArrayList<>();
+  private final int serverCount;
   private long version = 1;
 
   /**
@@ -46,13 +47,19 @@
    * @param storePort TCP port of the store; zero lets the system choose one
    */
   public TrainingPlatform(int storePort) {
+    this(storePort, SERVER_COUNT);
+  }
+
+  /** Creates a platform with a number of servers that does not listen yet. */
+  public TrainingPlatform(int storePort, int serverCount) {
+    this.serverCount = serverCount;
     store = new MetadataStoreStandIn(HOST, storePort);
   }
 
   /** Starts the servers and the store. */
   public void start() {
     store.put("op/config", configuration());
-    for (int number = 0; number < SERVER_COUNT; number++) {
+    for (int number = 0; number < serverCount; number++) {
       ServerStandIn server = new ServerStandIn("server-" + number, HOST, 0);
       server.start();
       servers.add(server);
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/Hashing.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/Hashing.java
@@ -16,7 +16,16 @@
 
   /** Returns a number above 0 and below 1 for a pair of hashes. */
   static double uniform(long first, long second) {
-    long mixed = HASH.hashLong(first * 31 + HASH.hashLong(second));
+    return uniformOfMixed(first, mix(second));
+  }
+
+  /** Returns the part of {@link #uniform} that depends only on the second hash. */
+  static long mix(long second) {
+    return HASH.hashLong(second);
+  }
+
+  private static double uniformOfMixed(long first, long mixedSecond) {
+    long mixed = HASH.hashLong(first * 31 + mixedSecond);
     return ((mixed >>> (Long.SIZE - MANTISSA_BITS)) + 0.5) * SCALE;
   }
 
@@ -25,6 +34,11 @@
    * "Weighted Distributed Hash Tables", 2005); the lowest score wins.
    */
   static double rendezvousScore(long key, long node, double weight) {
-    return -Math.log(uniform(key, node)) / weight;
+    return rendezvousScoreOfMixed(key, mix(node), weight);
+  }
+
+  /** Returns {@link #rendezvousScore} for a node whose hash was mixed before. */
+  static double rendezvousScoreOfMixed(long key, long mixedNode, double weight) {
+    return -Math.log(uniformOfMixed(key, mixedNode)) / weight;
   }
 }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/Placement.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/Placement.java
@@ -24,7 +24,7 @@
   private final Map<String, List<HashedServer>> serversByRegion = new LinkedHashMap<>();
   private final Map<String, Double> slotsByRegion = new LinkedHashMap<>();
 
-  private record HashedServer(ServerState server, long hash, double slots) {}
+  private record HashedServer(ServerState server, long mixedHash, double slots) {}
 
   private record ScoredServer(ServerState server, double score) {}
 
@@ -34,7 +34,9 @@
       double weight = server.registration().slots();
       serversByRegion
           .computeIfAbsent(server.region(), unused -> new ArrayList<>())
-          .add(new HashedServer(server, Hashing.hash(server.registration().identifier()), weight));
+          .add(
+              new HashedServer(
+                  server, Hashing.mix(Hashing.hash(server.registration().identifier())), weight));
       slotsByRegion.merge(server.region(), weight, Double::sum);
     }
   }
@@ -142,16 +144,43 @@
   }
 
   private void addBestCandidates(List<ServerState> target, String region, long keyHash, int count) {
+    List<HashedServer> servers = serversByRegion.getOrDefault(region, List.of());
+    List<ScoredServer> best =
+        count < servers.size() ? best(servers, keyHash, count) : sorted(servers, keyHash);
+    best.forEach(scored -> target.add(scored.server()));
+  }
+
+  private static List<ScoredServer> sorted(List<HashedServer> servers, long keyHash) {
     List<ScoredServer> scored = new ArrayList<>();
-    for (HashedServer candidate : serversByRegion.getOrDefault(region, List.of())) {
-      scored.add(
-          new ScoredServer(
-              candidate.server(),
-              Hashing.rendezvousScore(keyHash, candidate.hash(), candidate.slots())));
-    }
+    servers.forEach(
+        server -> scored.add(new ScoredServer(server.server(), score(server, keyHash))));
     scored.sort((one, other) -> Double.compare(one.score(), other.score()));
-    for (int index = 0; index < Math.min(count, scored.size()); index++) {
-      target.add(scored.get(index).server());
+    return scored;
+  }
+
+  /**
+   * Returns the first servers of the order. Few of many servers are wanted for each request, so
+   * inserting them is cheaper than sorting all.
+   */
+  private static List<ScoredServer> best(List<HashedServer> servers, long keyHash, int count) {
+    List<ScoredServer> best = new ArrayList<>(count + 1);
+    for (HashedServer server : servers) {
+      double score = score(server, keyHash);
+      int position = best.size();
+      while (position > 0 && score < best.get(position - 1).score()) {
+        position--;
+      }
+      if (position < count) {
+        best.add(position, new ScoredServer(server.server(), score));
+        if (best.size() > count) {
+          best.removeLast();
+        }
+      }
     }
+    return best;
+  }
+
+  private static double score(HashedServer server, long keyHash) {
+    return Hashing.rendezvousScoreOfMixed(keyHash, server.mixedHash(), server.slots());
   }
 }
