--- a/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
@@ -97,7 +97,6 @@
       transport.start();
       selectorThread = new SelectorThread(transport, bound.getSelectorRunner());
       socket = new ListeningSocket(bound, transport);
-      guard.start();
     } catch (IOException failure) {
       throw new WeirException(
           ErrorCode.CONNECT_FAILED,
