--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -187,8 +187,8 @@
    */
   public synchronized RequestExplanation explain(
       RequestAttributes attributes, long bodyBytes, String region, long nowNanoseconds) {
-    long version = view.index().map(index -> index.configuration().version()).orElse(0L);
-    RequestExplainer explainer = new RequestExplainer(self.name(), region, version, nowNanoseconds);
+    RequestExplainer explainer =
+        new RequestExplainer(self.name(), region, view, servers, nowNanoseconds);
     return switch (match(attributes, bodyBytes)) {
       case RouteMatch.None none -> explainer.unmatched(none.rejected());
       case RouteMatch.Found found -> {
--- a/weirlib/src/main/java/org/corianderweir/model/traffic/FleetMember.java
+++ b/weirlib/src/main/java/org/corianderweir/model/traffic/FleetMember.java
@@ -1,5 +1,7 @@
 package org.corianderweir.model.traffic;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * An entry instance that accepts requests.
  *
@@ -11,6 +13,8 @@
  * @param region region of the availability zone
  * @param incarnation wall-clock time of its start, in milliseconds since the epoch
  * @param capacity processor capacity of its machine in cores
+ * @param metricsPort TCP port of its metrics and explanations; 0 if the instance runs a version
+ *     that does not tell it
  */
 public record FleetMember(
     String name,
@@ -20,7 +24,8 @@
     String zone,
     String region,
     long incarnation,
-    double capacity) {
+    double capacity,
+    int metricsPort) {
   /** Capacity of a member that does not say its own. */
   public static final double DEFAULT_CAPACITY = 1;
 
@@ -35,7 +40,20 @@
             : Math.clamp(capacity, SMALLEST_CAPACITY, LARGEST_CAPACITY);
   }
 
-  /** Creates a member with the default capacity. */
+  /** Creates a member that does not tell its metrics port. */
+  public FleetMember(
+      String name,
+      String host,
+      int callerPort,
+      int peerPort,
+      String zone,
+      String region,
+      long incarnation,
+      double capacity) {
+    this(name, host, callerPort, peerPort, zone, region, incarnation, capacity, 0);
+  }
+
+  /** Creates a member with the default capacity that does not tell its metrics port. */
   public FleetMember(
       String name,
       String host,
@@ -47,6 +65,27 @@
     this(name, host, callerPort, peerPort, zone, region, incarnation, DEFAULT_CAPACITY);
   }
 
+  // Written out: the generated method is linked by method handles at its first call, during the
+  // start of the process, and no class archive holds them.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof FleetMember that
+        && name.equals(that.name)
+        && host.equals(that.host)
+        && callerPort == that.callerPort
+        && peerPort == that.peerPort
+        && zone.equals(that.zone)
+        && region.equals(that.region)
+        && incarnation == that.incarnation
+        && Double.compare(capacity, that.capacity) == 0
+        && metricsPort == that.metricsPort;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(incarnation) * 31 + name.hashCode();
+  }
+
   /** Returns the address for requests of callers as {@code host:port}. */
   public String callerAddress() {
     return host + ":" + callerPort;
