--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/DemandExchange.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/DemandExchange.java
@@ -11,7 +11,6 @@
 import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.traffic.DemandCollector;
 import org.corianderweir.logic.traffic.FleetView;
-import org.corianderweir.logic.traffic.OwnDemandReports;
 import org.corianderweir.logic.traffic.TrafficDirector;
 import org.corianderweir.model.topology.EntryInstance;
 import org.corianderweir.model.traffic.FleetMember;
@@ -26,10 +25,10 @@
   private static final Duration REPORT_INTERVAL = Duration.ofMillis(250);
 
   /**
-   * Mean age of the demand of other instances in a digest, where there are other regions: half an
-   * interval in their region, half an interval between collectors, and the latency.
+   * Number of report intervals between reports to other regions. Fewer reports are sent there,
+   * because traffic between regions is expensive and messages take longer.
    */
-  private static final Duration AGE_OF_OTHERS = Duration.ofMillis(300);
+  private static final int REGION_REPORT_INTERVAL_COUNT = 2;
 
   private final FleetMember self;
   private final TrafficDirector director;
@@ -37,8 +36,8 @@
   private final ControlExecutor controlExecutor;
   private final TimeSource time;
   private final DemandCollector collector = new DemandCollector();
-  private final OwnDemandReports ownReports = new OwnDemandReports(AGE_OF_OTHERS);
   private FleetView view = FleetView.EMPTY;
+  private int intervalCount;
 
   DemandExchange(
       FleetMember self,
@@ -77,11 +76,10 @@
               demand.region(), demand.reportingInstanceCount(), demand.requestsPerSecond(), now);
       case DemandMessage.FleetDemand digest ->
           director.updateFleetDemand(
-              ownReports.digest(
-                  digest.reportedRequestsPerSecond(),
-                  digest.reportingInstanceCount(),
-                  digest.fleetRequestsPerSecond(),
-                  now));
+              digest.reportedRequestsPerSecond(),
+              digest.reportingInstanceCount(),
+              digest.fleetRequestsPerSecond(),
+              now);
     }
   }
 
@@ -100,13 +98,13 @@
 
   private void reportDemand() {
     long now = time.monotonicNanoseconds();
+    intervalCount++;
     Optional<FleetMember> collectorMember =
         DemandCollector.chooseCollector(view.members(), self.region());
     if (collectorMember.isEmpty()) {
       return;
     }
     Map<String, Double> demand = director.demand(now);
-    ownReports.add(demand, now);
     if (!collectorMember.get().name().equals(self.name())) {
       transport.send(
           toEntryInstance(collectorMember.get()), new DemandMessage.DemandReport(demand));
@@ -114,9 +112,10 @@
     }
     collector.reportInstanceDemand(self.name(), demand, now);
     director.updateFleetDemand(
-        ownReports.digest(
-            demand, collector.fleetInstanceCount(now), collector.fleetDemand(now), now));
-    reportToOtherRegions(now);
+        demand, collector.fleetInstanceCount(now), collector.fleetDemand(now), now);
+    if (intervalCount % REGION_REPORT_INTERVAL_COUNT == 0) {
+      reportToOtherRegions(now);
+    }
   }
 
   private void reportToOtherRegions(long now) {
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/SlidingWindowCounter.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/SlidingWindowCounter.java
@@ -7,8 +7,6 @@
  * one bucket more. Not thread-safe.
  */
 public final class SlidingWindowCounter {
-  private static final double NANOSECONDS_PER_SECOND = 1e9;
-
   private final long bucketNanoseconds;
   private final long[] counts;
   private long newestBucket = Long.MIN_VALUE;
@@ -32,7 +30,7 @@
 
   /** Returns the number of events in the window that ends now. Changes nothing. */
   public long count(long nowNanoseconds) {
-    long bucket = bucketOf(nowNanoseconds);
+    long bucket = Math.floorDiv(nowNanoseconds, bucketNanoseconds);
     if (newestBucket == Long.MIN_VALUE || bucket - newestBucket >= counts.length) {
       return 0;
     }
@@ -44,32 +42,6 @@
     return sum;
   }
 
-  /**
-   * Returns the number of events since a time in the window, and those before it in its bucket.
-   * Changes nothing.
-   */
-  long countSince(long sinceNanoseconds) {
-    if (newestBucket == Long.MIN_VALUE) {
-      return 0;
-    }
-    long sum = 0;
-    long oldest = Math.max(newestBucket - counts.length + 1, bucketOf(sinceNanoseconds));
-    for (long counted = oldest; counted <= newestBucket; counted++) {
-      sum += counts[index(counted)];
-    }
-    return sum;
-  }
-
-  /**
-   * Returns the events per second in the time that {@link #count} covers: the window and the part
-   * of the present bucket that has passed.
-   */
-  double perSecond(long nowNanoseconds) {
-    long covered =
-        bucketNanoseconds * (counts.length - 1) + Math.floorMod(nowNanoseconds, bucketNanoseconds);
-    return count(nowNanoseconds) * NANOSECONDS_PER_SECOND / Math.max(1, covered);
-  }
-
   /** Returns a copy that counts by itself. */
   SlidingWindowCounter copy() {
     SlidingWindowCounter copy =
@@ -80,7 +52,7 @@
   }
 
   private void advance(long nowNanoseconds) {
-    long bucket = bucketOf(nowNanoseconds);
+    long bucket = Math.floorDiv(nowNanoseconds, bucketNanoseconds);
     if (newestBucket == Long.MIN_VALUE || bucket - newestBucket >= counts.length) {
       Arrays.fill(counts, 0);
       newestBucket = bucket;
@@ -92,10 +64,6 @@
     }
   }
 
-  private long bucketOf(long nanoseconds) {
-    return Math.floorDiv(nanoseconds, bucketNanoseconds);
-  }
-
   private int index(long bucket) {
     return (int) Math.floorMod(bucket, counts.length);
   }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -44,7 +44,7 @@
   private final RouteLatencyAverages latencyAverages = new RouteLatencyAverages();
   private final SmoothWeightedRoundRobin serviceRotation = new SmoothWeightedRoundRobin();
   private final Map<String, RetryBudgetShare> retryBudgets = new HashMap<>();
-  private final RateShares rateShares;
+  private final Map<String, RateShare> rateShares = new HashMap<>();
   private FleetView view = FleetView.EMPTY;
   private int instanceCount = 1;
   private long instanceCountNanoseconds;
@@ -57,7 +57,6 @@
     servers = new ServerPool(self, location);
     search = new ServerSearch(servers);
     capacity = new CapacityGate(self.name());
-    rateShares = new RateShares(self.name());
   }
 
   /** Applies a new view of the fleet. */
@@ -127,7 +126,9 @@
             attributes,
             match,
             bodyBytes,
-            organisation -> rateShares.get(organisation, bounds, instanceCount, nowNanoseconds),
+            organisation ->
+                rateShares.computeIfAbsent(
+                    organisation.name(), unused -> newShare(organisation, nowNanoseconds)),
             serviceRotation,
             nowNanoseconds);
     if (admission instanceof Admission.Admitted admitted) {
@@ -179,6 +180,10 @@
     return match.organisation().filter(CallerOrganisation::hasLimit);
   }
 
+  private RateShare newShare(CallerOrganisation organisation, long nowNanoseconds) {
+    return new RateShare(organisation, bounds, instanceCount, nowNanoseconds);
+  }
+
   /**
    * Explains what would be done with a request now. Goes through the decisions that serve requests,
    * with copies of what they count, so nothing is recorded or used up.
@@ -196,7 +201,9 @@
             limited(found)
                 .map(
                     organisation ->
-                        rateShares.copy(organisation, bounds, instanceCount, nowNanoseconds));
+                        Optional.ofNullable(rateShares.get(organisation.name()))
+                            .map(RateShare::copy)
+                            .orElseGet(() -> newShare(organisation, nowNanoseconds)));
         Admission admission =
             admit(
                 attributes,
@@ -398,12 +405,36 @@
 
   /** Returns the demand on this instance by organisation, in requests per second. */
   public synchronized Map<String, Double> demand(long nowNanoseconds) {
-    return rateShares.demand(nowNanoseconds);
+    Map<String, Double> demand = new HashMap<>();
+    rateShares.forEach(
+        (organisation, share) -> {
+          double rate = share.demand(nowNanoseconds);
+          if (rate > 0) {
+            demand.put(organisation, rate);
+          }
+        });
+    return demand;
   }
 
-  /** Updates the demand of organisations on the fleet. */
-  public synchronized void updateFleetDemand(DemandDigest digest) {
-    rateShares.update(digest);
+  /**
+   * Updates the demand of organisations on the fleet, in requests per second.
+   *
+   * @param reported demand that this instance had reported
+   * @param reportingInstances number of instances whose demand is known
+   * @param fleetDemand demand of these instances
+   */
+  public synchronized void updateFleetDemand(
+      Map<String, Double> reported,
+      int reportingInstances,
+      Map<String, Double> fleetDemand,
+      long nowNanoseconds) {
+    rateShares.forEach(
+        (organisation, share) ->
+            share.updateFleetDemand(
+                reported.getOrDefault(organisation, 0.0),
+                fleetDemand.getOrDefault(organisation, 0.0),
+                reportingInstances,
+                nowNanoseconds));
   }
 
   /** Returns whether a request with the given deadline could outlive this instance. */
