--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
@@ -38,19 +38,6 @@
    */
   private static final Duration LEASE_GRACE_PERIOD = Duration.ofMillis(2_300);
 
-  /** Labels of the conditions and speeds of servers, of which there is a metric each. */
-  private static final List<String> SERVER_LABELS =
-      List.of(
-          "draining",
-          "leaving",
-          "pausing",
-          "failing",
-          "cold",
-          "healthy",
-          "speed.usual",
-          "speed.slow",
-          "speed.unknown");
-
   private final MetricRegistry metrics = new MetricRegistry();
   private final MetricsEndpoint metricsEndpoint;
   private final FleetMember self;
@@ -105,13 +92,20 @@
     metrics.gauge("store.watching", () -> () -> storeWatcher.isWatching() ? 1 : 0);
     registration = new MemberRegistration(store, schema, controlExecutor, events, self);
     director = new TrafficDirector(self, settings.location(), settings.bounds());
-    for (String label : SERVER_LABELS) {
+    for (String condition :
+        List.of("draining", "leaving", "pausing", "failing", "cold", "healthy")) {
       metrics.gauge(
-          "servers." + label,
-          () -> () -> director.serverCounts(time.monotonicNanoseconds()).getOrDefault(label, 0));
+          "servers." + condition,
+          () ->
+              () ->
+                  director.conditionCounts(time.monotonicNanoseconds()).getOrDefault(condition, 0));
     }
     metrics.gauge("servers.body.bytes", () -> director::bodyBytesInProgress);
-    metrics.gauge("placement.local.additional.ratio", () -> director::additionalLocalRatio);
+    for (String speed : List.of("usual", "slow", "unknown")) {
+      metrics.gauge(
+          "servers.speed." + speed,
+          () -> () -> director.speedCounts(time.monotonicNanoseconds()).getOrDefault(speed, 0));
+    }
     WaitingRequests waiting = new WaitingRequests(controlExecutor);
     metrics.gauge("requests.waiting", () -> waiting::count);
     DescriptorPlan descriptors = DescriptorPlan.forLimit(settings.fileDescriptorLimit());
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
@@ -205,17 +205,6 @@
         .collect(Collectors.toSet());
   }
 
-  /**
-   * Returns the ratio of affinity keys that are placed in the own region beyond those by its slots,
-   * as a mean over the services.
-   */
-  double additionalLocalRatio() {
-    return localShares.values().stream()
-        .mapToDouble(LocalPlacementShare::additional)
-        .average()
-        .orElse(0);
-  }
-
   /**
    * Returns the ratio of a service's affinity keys that are placed in a region beyond those by its
    * slots; 0 for other regions than that of this instance.
@@ -261,16 +250,21 @@
     return servers.values().stream().map(ServerState::region).collect(Collectors.toSet());
   }
 
-  /**
-   * Returns the number of servers by the label of their condition, and by that of the speed that
-   * they reported, with the prefix {@code speed.}.
-   */
-  Map<String, Integer> counts(long nowNanoseconds) {
+  /** Returns the number of servers by the label of their condition. */
+  Map<String, Integer> conditionCounts(long nowNanoseconds) {
     Map<String, Integer> counts = new HashMap<>();
-    for (ServerState server : servers.values()) {
-      counts.merge(server.condition(nowNanoseconds).label(), 1, Integer::sum);
-      counts.merge("speed." + server.speedLabel(nowNanoseconds), 1, Integer::sum);
-    }
+    servers
+        .values()
+        .forEach(server -> counts.merge(server.condition(nowNanoseconds).label(), 1, Integer::sum));
+    return counts;
+  }
+
+  /** Returns the number of servers by the label of the speed that they reported. */
+  Map<String, Integer> speedCounts(long nowNanoseconds) {
+    Map<String, Integer> counts = new HashMap<>();
+    servers
+        .values()
+        .forEach(server -> counts.merge(server.speedLabel(nowNanoseconds), 1, Integer::sum));
     return counts;
   }
 
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/TrafficDirector.java
@@ -287,14 +287,14 @@
     return server.condition(nowNanoseconds);
   }
 
-  /** Returns the number of servers by the labels of their condition and of their speed. */
-  public synchronized Map<String, Integer> serverCounts(long nowNanoseconds) {
-    return servers.counts(nowNanoseconds);
+  /** Returns the number of servers by the label of their condition. */
+  public synchronized Map<String, Integer> conditionCounts(long nowNanoseconds) {
+    return servers.conditionCounts(nowNanoseconds);
   }
 
-  /** Returns the mean of {@link LocalPlacementShare#additional} over the services. */
-  public synchronized double additionalLocalRatio() {
-    return servers.additionalLocalRatio();
+  /** Returns the number of servers by the label of the speed that they reported. */
+  public synchronized Map<String, Integer> speedCounts(long nowNanoseconds) {
+    return servers.speedCounts(nowNanoseconds);
   }
 
   /** Returns the number of body bytes that this instance has in progress at all servers. */
