--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/Placement.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/Placement.java
@@ -12,7 +12,7 @@
  *
  * <p>A key is placed in the caller's region if the region has at least an average number of slots.
  * Otherwise only a corresponding part of the keys is placed there, and the others are placed in
- * regions with spare slots. {@link LocalPlacementShare} may raise that part. Immutable.
+ * regions with spare slots. Immutable.
  */
 final class Placement {
   /** Candidates in the key's region. Further servers would not have handled the key recently. */
@@ -41,30 +41,15 @@
     }
   }
 
-  /**
-   * Returns the candidate servers for the hash of an affinity key, the preferred one first.
-   *
-   * @param additionalLocalRatio ratio of keys that are placed in the caller's region beyond those
-   *     by its slots
-   */
-  List<ServerState> candidates(
-      long keyHash,
-      String callerRegion,
-      double additionalLocalRatio,
-      Predicate<String> allowedRegion) {
+  /** Returns the candidate servers for the hash of an affinity key, the preferred one first. */
+  List<ServerState> candidates(long keyHash, String callerRegion, Predicate<String> allowedRegion) {
     return candidates(
-        keyHash,
-        callerRegion,
-        additionalLocalRatio,
-        allowedRegion,
-        LOCAL_CANDIDATE_COUNT,
-        REMOTE_CANDIDATE_COUNT);
+        keyHash, callerRegion, allowedRegion, LOCAL_CANDIDATE_COUNT, REMOTE_CANDIDATE_COUNT);
   }
 
   private List<ServerState> candidates(
       long keyHash,
       String callerRegion,
-      double additionalLocalRatio,
       Predicate<String> allowedRegion,
       int localCount,
       int remoteCount) {
@@ -72,7 +57,7 @@
     if (regions.isEmpty()) {
       return List.of();
     }
-    String preferredRegion = placementRegion(keyHash, callerRegion, additionalLocalRatio, regions);
+    String preferredRegion = placementRegion(keyHash, callerRegion, regions);
     List<ServerState> candidates = new ArrayList<>();
     addBestCandidates(candidates, preferredRegion, keyHash, localCount);
     if (!preferredRegion.equals(callerRegion) && regions.contains(callerRegion)) {
@@ -96,28 +81,15 @@
 
   /** Returns all servers that may get requests, in the order of {@link #candidates}. */
   List<ServerState> allCandidates(
-      long keyHash,
-      String callerRegion,
-      double additionalLocalRatio,
-      Predicate<String> allowedRegion) {
-    return candidates(
-        keyHash,
-        callerRegion,
-        additionalLocalRatio,
-        allowedRegion,
-        Integer.MAX_VALUE,
-        Integer.MAX_VALUE);
+      long keyHash, String callerRegion, Predicate<String> allowedRegion) {
+    return candidates(keyHash, callerRegion, allowedRegion, Integer.MAX_VALUE, Integer.MAX_VALUE);
   }
 
   /** Returns the region in which an affinity key is placed for callers of a region. */
-  private String placementRegion(
-      long keyHash, String callerRegion, double additionalLocalRatio, List<String> regions) {
+  private String placementRegion(long keyHash, String callerRegion, List<String> regions) {
     double total = regions.stream().mapToDouble(this::slotsInRegion).sum();
     double localSlots = regions.contains(callerRegion) ? slotsInRegion(callerRegion) : 0;
-    double localRatio =
-        localSlots == 0
-            ? 0
-            : Math.min(1, localSlots * regions.size() / total + additionalLocalRatio);
+    double localRatio = Math.min(1, localSlots * regions.size() / total);
     long callerHash = Hashing.hash(callerRegion);
     if (Hashing.uniform(keyHash, callerHash) < localRatio) {
       return callerRegion;
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerPool.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.DoubleSummaryStatistics;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -46,7 +45,6 @@
 
   private final Map<String, Placement> placements = new HashMap<>();
   private final Map<String, Integer> coldServerOwnerCounts = new HashMap<>();
-  private final Map<String, LocalPlacementShare> localShares = new HashMap<>();
   private final ReportOutbox outbox = new ReportOutbox();
   private FleetView view = FleetView.EMPTY;
 
@@ -171,49 +169,10 @@
     }
     if (!reports.isEmpty()) {
       updateAverages(sinceNanoseconds);
-      updateLocalShares(sinceNanoseconds);
     }
     return newerCount;
   }
 
-  /** Reports come four times a second; without them, the shares stay as they are. */
-  private void updateLocalShares(long nowNanoseconds) {
-    if (!view.hasLargeRequests()) {
-      localShares.clear();
-      return;
-    }
-    Map<String, DoubleSummaryStatistics> loads = new HashMap<>();
-    for (ServerState server : servers.values()) {
-      if (server.region().equals(self.region()) && server.reportWeight(nowNanoseconds) > 0) {
-        loads
-            .computeIfAbsent(
-                server.registration().service(), unused -> new DoubleSummaryStatistics())
-            .accept(server.load(nowNanoseconds) / Math.max(1, server.registration().slots()));
-      }
-    }
-    loads.forEach(
-        (service, load) ->
-            localShares
-                .computeIfAbsent(service, unused -> new LocalPlacementShare(nowNanoseconds))
-                .update(load.getAverage(), nowNanoseconds));
-    localShares.keySet().retainAll(services());
-  }
-
-  private Set<String> services() {
-    return servers.values().stream()
-        .map(server -> server.registration().service())
-        .collect(Collectors.toSet());
-  }
-
-  /**
-   * Returns the ratio of a service's affinity keys that are placed in a region beyond those by its
-   * slots; 0 for other regions than that of this instance.
-   */
-  double additionalLocalRatio(String service, String region) {
-    LocalPlacementShare share = localShares.get(service);
-    return share == null || !region.equals(self.region()) ? 0 : share.additional();
-  }
-
   private void updateAverages(long nowNanoseconds) {
     Map<ServerGroup, LongSummaryStatistics> requests = new HashMap<>();
     for (ServerState server : servers.values()) {
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerSearch.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ServerSearch.java
@@ -117,14 +117,11 @@
     Placement placement = servers.placement(request.service());
     long keyHash = Hashing.hash(affinityKey);
     Pass pass = new Pass(request, region, sticky, nowNanoseconds);
-    double localRatio = servers.additionalLocalRatio(request.service(), region);
-    List<ServerState> candidates =
-        placement.candidates(keyHash, region, localRatio, request::allowsRegion);
+    List<ServerState> candidates = placement.candidates(keyHash, region, request::allowsRegion);
     if (request.isLargeUpload()) {
       Result result = pass.best(candidates, Scope.LARGE_BODY);
       if (result.isEmpty()) {
-        List<ServerState> all =
-            placement.allCandidates(keyHash, region, localRatio, request::allowsRegion);
+        List<ServerState> all = placement.allCandidates(keyHash, region, request::allowsRegion);
         result = pass.best(all, Scope.LARGE_BODY_ALL_SERVERS);
       }
       if (!result.isEmpty()) {
@@ -139,8 +136,7 @@
         result.isEmpty()
             && candidates.stream().anyMatch(server -> server.condition(nowNanoseconds).isClosed());
     if (closed) {
-      List<ServerState> all =
-          placement.allCandidates(keyHash, region, localRatio, request::allowsRegion);
+      List<ServerState> all = placement.allCandidates(keyHash, region, request::allowsRegion);
       result = pass.best(all, Scope.ALL_SERVERS);
     }
     return result;
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/PlacementTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/PlacementTest.java
@@ -22,9 +22,9 @@
     Placement placement = new Placement(servers);
     for (long key = 0; key < 200; key++) {
       long keyHash = Hashing.hash("object-" + key);
-      List<ServerState> all = placement.allCandidates(keyHash, "north", 0, region -> true);
+      List<ServerState> all = placement.allCandidates(keyHash, "north", region -> true);
       assertEquals(
-          placement.candidates(keyHash, "north", 0, region -> true),
+          placement.candidates(keyHash, "north", region -> true),
           all.subList(0, Math.min(4, serverCount)));
     }
   }
