One piece of code where the last changes wrote the same twice

- RequestExplanation copies itself in one place; rejections of both interfaces come from one factory.
- The checks of a sample's figures, and the failure that no instance answers, have one place each.
- ExplainEndpoint uses HttpResponse.json instead of a method of its own.
- The recorded run of the class archive uses the configuration of the soak, so deploy/build.sh asks for /upload/ and /export/; it had routes of its own for the same kinds.
- ClientsExperiment and FleetExplanation lose detours around Optional.
- The comparators that are written out say why.

No change of behaviour.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -79,9 +79,9 @@
     kill "$peer" 2>/dev/null || true
   fi
   send 27586 "GET /read/x HTTP/1.1\r\nRequest-Id: read-$number\r\n$head\r\n"
-  send 27586 "GET /read/x HTTP/1.1\r\nRequest-Id: both-$number\r\nHost: rota.example\r\nX-Api-Key: key-1\r\n\r\nGET /fetch/x HTTP/1.1\r\nRequest-Id: fetch-$number\r\n$head\r\n"
+  send 27586 "GET /read/x HTTP/1.1\r\nRequest-Id: both-$number\r\nHost: rota.example\r\nX-Api-Key: key-1\r\n\r\nGET /export/x HTTP/1.1\r\nRequest-Id: fetch-$number\r\n$head\r\n"
   send 27586 "POST /book/x HTTP/1.1\r\nRequest-Id: book-$number\r\nContent-Length: 4\r\n$head\r\nbody"
-  send 27586 "POST /send/x HTTP/1.1\r\nRequest-Id: chunk-$number\r\nTransfer-Encoding: chunked\r\n$head\r\n4\r\nbody\r\n0\r\n\r\n"
+  send 27586 "POST /upload/x HTTP/1.1\r\nRequest-Id: chunk-$number\r\nTransfer-Encoding: chunked\r\n$head\r\n4\r\nbody\r\n0\r\n\r\n"
   sleep 0.3
 done
 send 27586 "GET /read/x HTTP/1.1\r\nRequest-Id: no-key\r\nHost: rota.example\r\nConnection: close\r\n\r\n"
--- a/weirbench/src/main/java/org/corianderweir/bench/clients/ClientsExperiment.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/clients/ClientsExperiment.java
@@ -100,7 +100,9 @@
         try (UncontrolledClients clients =
             new UncontrolledClients(crowd, instance.callers(), interfaces.targets)) {
           clients.run();
-          problem = problem.or(() -> answersOf(instance));
+          if (problem.isEmpty()) {
+            problem = instance.awaitAnswers();
+          }
         }
         TimeUnit.MILLISECONDS.sleep(restTime.toMillis());
       }
@@ -109,15 +111,6 @@
     }
   }
 
-  private static Optional<String> answersOf(InstanceProcess instance) {
-    try {
-      return instance.awaitAnswers();
-    } catch (InterruptedException interrupted) {
-      Thread.currentThread().interrupt();
-      return Optional.of("interrupted");
-    }
-  }
-
   /** Joins the samples with the heap after the latest collection before each of them. */
   private static List<Row> rows(
       List<ResourceSampler.Sample> samples, List<Collection> collections, long startMilliseconds) {
--- a/weirbench/src/main/java/org/corianderweir/bench/training/TrainingPlatform.java
+++ b/weirbench/src/main/java/org/corianderweir/bench/training/TrainingPlatform.java
@@ -20,12 +20,7 @@
 
   private static final Duration CHANGE_INTERVAL = Duration.ofMillis(400);
 
-  /** A route of each of the other two kinds, beside those of {@link StoreValues}. */
-  private static final String FURTHER_ROUTES =
-      """
-      ["send","rota.example","/send/","upload",2000,600,2,null,1,false,true,[],"desk"],
-      ["fetch","rota.example","/fetch/","download",2000,600,2,null,2,false,true,[],"desk"],
-      """;
+  private static final int LIMIT_PER_SECOND = 1_000;
 
   private static final List<ServerStandIn.Fault> FAULTS =
       List.of(
@@ -82,8 +77,7 @@
   }
 
   private String configuration() {
-    return StoreValues.configuration(version, REQUESTS_PER_SECOND)
-        .replace("\n[\"book\"", "\n" + FURTHER_ROUTES + "[\"book\"");
+    return StoreValues.largeRequestConfiguration(version, REQUESTS_PER_SECOND, LIMIT_PER_SECOND);
   }
 
   /** Returns the port on which the store listens. */
--- a/weirctl/src/main/java/org/corianderweir/ctl/command/ExplainClient.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/command/ExplainClient.java
@@ -96,12 +96,17 @@
         }
       }
     }
-    throw new CommandException(
+    throw unreachable(addresses, "check the addresses, or name further instances with --instances");
+  }
+
+  /** Creates the failure that no instance answers at some addresses. */
+  static CommandException unreachable(List<HttpAddress> addresses, String nextStep) {
+    return new CommandException(
         ExitStatus.UNREACHABLE,
         "unreachable",
         "no entry instance answers at "
             + addresses.stream().map(HttpAddress::toString).collect(Collectors.joining(", ")),
-        "check the addresses, or name further instances with --instances");
+        nextStep);
   }
 
   private FleetListing listing(HttpAddress address, HttpResponse response) {
--- a/weirctl/src/main/java/org/corianderweir/ctl/command/ExplainRequestCommand.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/command/ExplainRequestCommand.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.regex.Pattern;
-import java.util.stream.Collectors;
 import org.corianderweir.ctl.CommandException;
 import org.corianderweir.ctl.CommandResult;
 import org.corianderweir.ctl.ExitStatus;
@@ -84,12 +83,8 @@
         return result(address.toString(), answer);
       }
     }
-    throw new CommandException(
-        ExitStatus.UNREACHABLE,
-        "unreachable",
-        "no entry instance answers at "
-            + addresses.stream().map(HttpAddress::toString).collect(Collectors.joining(", ")),
-        "give the address of a running instance with --at HOST:PORT");
+    throw ExplainClient.unreachable(
+        addresses, "give the address of a running instance with --at HOST:PORT");
   }
 
   private CommandResult explainAtInstance(ExplainClient client, FleetListing listing) {
--- a/weirctl/src/main/java/org/corianderweir/ctl/command/FleetExplanation.java
+++ b/weirctl/src/main/java/org/corianderweir/ctl/command/FleetExplanation.java
@@ -98,22 +98,15 @@
 
   /** Returns the failure to report if an instance did not explain the request. */
   Optional<CommandException> failure() {
-    return failure(Cause.NO_ANSWER, ExitStatus.UNREACHABLE, "unreachable", "no answer of ")
-        .or(
-            () ->
-                problems.isEmpty()
-                    ? Optional.empty()
-                    : Optional.of(
-                        exception(
-                            problems, ExitStatus.FAILED, "answer-unusable", "no explanation of ")));
-  }
-
-  private Optional<CommandException> failure(
-      Cause cause, ExitStatus status, String code, String message) {
-    List<Problem> matching = problems.stream().filter(problem -> problem.cause() == cause).toList();
-    return matching.isEmpty()
-        ? Optional.empty()
-        : Optional.of(exception(matching, status, code, message));
+    if (problems.isEmpty()) {
+      return Optional.empty();
+    }
+    List<Problem> silent =
+        problems.stream().filter(problem -> problem.cause() == Cause.NO_ANSWER).toList();
+    return Optional.of(
+        silent.isEmpty()
+            ? exception(problems, ExitStatus.FAILED, "answer-unusable", "no explanation of ")
+            : exception(silent, ExitStatus.UNREACHABLE, "unreachable", "no answer of "));
   }
 
   private static CommandException exception(
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ExplainEndpoint.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ExplainEndpoint.java
@@ -1,6 +1,5 @@
 package org.corianderweir.daemon.entry;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
@@ -9,7 +8,6 @@
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import org.corianderweir.http.HttpHeaders;
 import org.corianderweir.http.HttpRequest;
 import org.corianderweir.http.HttpResponse;
 import org.corianderweir.logic.traffic.RejectionReason;
@@ -58,18 +56,19 @@
   /** Returns the explanation of the sample request that a request describes. */
   HttpResponse answer(HttpRequest request) {
     try {
-      return json(STATUS_OK, explain(request));
+      return HttpResponse.json(STATUS_OK, Json.write(explain(request)));
     } catch (WeirException | IllegalArgumentException malformed) {
-      return json(
+      return HttpResponse.json(
           STATUS_BAD_REQUEST,
-          new OperatorMessages.Failure(
-              ErrorCode.JSON_INVALID.name(), String.valueOf(malformed.getMessage())));
+          Json.write(
+              new OperatorMessages.Failure(
+                  ErrorCode.JSON_INVALID.name(), String.valueOf(malformed.getMessage()))));
     }
   }
 
   private RequestExplanation explain(HttpRequest request) {
     RequestSample sample = Json.fromFields(parameters(request), RequestSample.class);
-    if (sample.bodyBytes() < 0 || sample.deadlineMilliseconds().orElse(1L) <= 0) {
+    if (sample.hasInvalidFigures()) {
       throw new IllegalArgumentException("a length or a deadline is negative");
     }
     String region = sample.region().orElse(self.region());
@@ -110,11 +109,4 @@
             });
     return parameters;
   }
-
-  private static HttpResponse json(int status, Object body) {
-    return new HttpResponse(
-        status,
-        HttpHeaders.NONE.with("Content-Type", "application/json"),
-        Json.write(body).getBytes(StandardCharsets.UTF_8));
-  }
 }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/RequestLog.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.corianderweir.daemon.control.EventLog;
+import org.corianderweir.logic.admission.Assessment;
 import org.corianderweir.logic.traffic.Admission;
 import org.corianderweir.logic.traffic.AdmittedRequest;
 import org.corianderweir.logic.traffic.FleetView;
@@ -124,14 +125,7 @@
         .add("queued", request.attributes().queueTime().toMillis())
         .add("took", milliseconds(nowNanoseconds - sentNanoseconds))
         .add("class", request.priority());
-    request
-        .assessment()
-        .ifPresent(
-            assessment ->
-                fields
-                    .add("cause", assessment.cause().toString())
-                    .add("expected", milliseconds(assessment.expectedTime()))
-                    .add("wait", milliseconds(assessment.expectedWait())));
+    request.assessment().ifPresent(assessment -> addTo(fields, assessment));
     events.record(
         EventCode.REQUEST_SENT, sanitize(request.attributes().identifier()), fields.toString());
   }
@@ -165,10 +159,7 @@
         .assessment()
         .ifPresent(
             assessment ->
-                fields
-                    .add("cause", assessment.cause().toString())
-                    .add("expected", milliseconds(assessment.expectedTime()))
-                    .add("wait", milliseconds(assessment.expectedWait()))
+                addTo(fields, assessment)
                     .add("allowed", milliseconds(assessment.allowedWait()))
                     .add("free", assessment.freeSlots(), 1)
                     .add("report", assessment.reportWeight(), 2)
@@ -267,6 +258,13 @@
     metrics.counter(name).inc();
   }
 
+  private static LogFields addTo(LogFields fields, Assessment assessment) {
+    return fields
+        .add("cause", assessment.cause().toString())
+        .add("expected", milliseconds(assessment.expectedTime()))
+        .add("wait", milliseconds(assessment.expectedWait()));
+  }
+
   private static void addTo(LogFields fields, RateLimitSnapshot snapshot) {
     fields
         .add("organisation", snapshot.organisation())
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficExplainer.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficExplainer.java
@@ -87,7 +87,7 @@
   }
 
   private void requireValid(RequestSample sample) {
-    if (sample.bodyBytes() < 0 || sample.deadlineMilliseconds().orElse(1L) <= 0) {
+    if (sample.hasInvalidFigures()) {
       throw new WeirException(ErrorCode.JSON_INVALID, "a length or a deadline is negative");
     }
     if (!sample.region().orElse(self.region()).equals(self.region())) {
@@ -286,13 +286,8 @@
     RequestExplanation refused(RefusalReason reason, Duration retryAfter) {
       admission = "rejected: " + reason.code();
       return explanation(
-          new RequestExplanation.Outcome(
-              "reject",
-              Optional.empty(),
-              Optional.of(reason.code()),
-              Optional.of(retryAfter.toMillis()),
-              Optional.empty(),
-              Optional.of(reason.httpStatus())));
+          RequestExplanation.Outcome.reject(reason.code(), retryAfter.toMillis())
+              .withStatus(reason.httpStatus()));
     }
 
     private RequestExplanation explanation(RequestExplanation.Outcome outcome) {
--- a/weirlib/src/main/java/org/corianderweir/logic/relay/RelayRanking.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/relay/RelayRanking.java
@@ -19,6 +19,7 @@
   static List<String> rank(Collection<String> instances, String zone) {
     return instances.stream()
         .distinct()
+        // Comparator.comparingLong makes a serializable lambda, which no class archive holds.
         .sorted(
             (one, other) -> {
               int byHash = Long.compare(hash(one, zone), hash(other, zone));
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/FleetFacts.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/FleetFacts.java
@@ -164,6 +164,7 @@
         }
       }
     }
+    // Comparator.comparing makes a serializable lambda, which no class archive holds.
     members.sort((one, other) -> one.name().compareTo(other.name()));
     return new FleetView(index, servers, evacuated, members, peerSecret, revision);
   }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/Placement.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/Placement.java
@@ -126,6 +126,7 @@
     List<ScoredServer> scored = new ArrayList<>();
     servers.forEach(
         server -> scored.add(new ScoredServer(server.server(), score(server, keyHash))));
+    // Comparator.comparingDouble makes a serializable lambda, which no class archive holds.
     scored.sort((one, other) -> Double.compare(one.score(), other.score()));
     return scored;
   }
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/ReportCollector.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/ReportCollector.java
@@ -67,6 +67,7 @@
     List<FleetMember> zone =
         members.stream()
             .filter(member -> member.zone().equals(self.zone()))
+            // Comparator.comparingLong makes a serializable lambda, which no class archive holds.
             .sorted(
                 (one, other) -> Long.compare(Hashing.hash(one.name()), Hashing.hash(other.name())))
             .toList();
--- a/weirlib/src/main/java/org/corianderweir/logic/traffic/RequestExplanation.java
+++ b/weirlib/src/main/java/org/corianderweir/logic/traffic/RequestExplanation.java
@@ -174,46 +174,48 @@
     }
 
     static Outcome reject(RejectionReason reason, long retryAfterMilliseconds) {
+      return reject(reason.name(), retryAfterMilliseconds);
+    }
+
+    /**
+     * Returns the outcome that the request is rejected.
+     *
+     * @param reason name of the reason in the interface
+     */
+    public static Outcome reject(String reason, long retryAfterMilliseconds) {
       return new Outcome(
           "reject",
           Optional.empty(),
-          Optional.of(reason.name()),
+          Optional.of(reason),
           Optional.of(retryAfterMilliseconds),
           Optional.empty(),
           Optional.empty());
     }
+
+    /** Returns the same outcome with the status of the response. */
+    public Outcome withStatus(int responseStatus) {
+      return new Outcome(
+          decision,
+          server,
+          reason,
+          retryAfterMilliseconds,
+          waitMilliseconds,
+          Optional.of(responseStatus));
+    }
   }
 
   /** Returns the same explanation with the status of the response in the outcome. */
   public RequestExplanation withStatus(int status) {
-    Outcome answered =
-        new Outcome(
-            outcome.decision(),
-            outcome.server(),
-            outcome.reason(),
-            outcome.retryAfterMilliseconds(),
-            outcome.waitMilliseconds(),
-            Optional.of(status));
-    return new RequestExplanation(
-        instance,
-        region,
-        configurationVersion,
-        route,
-        organisation,
-        limit,
-        kind,
-        priority,
-        admission,
-        service,
-        capacity,
-        scope,
-        candidates,
-        answered,
-        basis);
+    return with(outcome.withStatus(status), basis);
   }
 
   /** Returns the same explanation with the age of the state that it is based on. */
   public RequestExplanation withAge(Optional<Duration> age) {
+    return with(
+        outcome, basis.map(known -> new Basis(known.revision(), age.map(Duration::toMillis))));
+  }
+
+  private RequestExplanation with(Outcome newOutcome, Optional<Basis> newBasis) {
     return new RequestExplanation(
         instance,
         region,
@@ -228,7 +230,7 @@
         capacity,
         scope,
         candidates,
-        outcome,
-        basis.map(known -> new Basis(known.revision(), age.map(Duration::toMillis))));
+        newOutcome,
+        newBasis);
   }
 }
--- a/weirlib/src/main/java/org/corianderweir/model/traffic/FleetMember.java
+++ b/weirlib/src/main/java/org/corianderweir/model/traffic/FleetMember.java
@@ -40,19 +40,6 @@
             : Math.clamp(capacity, SMALLEST_CAPACITY, LARGEST_CAPACITY);
   }
 
-  /** Creates a member that does not tell its metrics port. */
-  public FleetMember(
-      String name,
-      String host,
-      int callerPort,
-      int peerPort,
-      String zone,
-      String region,
-      long incarnation,
-      double capacity) {
-    this(name, host, callerPort, peerPort, zone, region, incarnation, capacity, 0);
-  }
-
   /** Creates a member with the default capacity that does not tell its metrics port. */
   public FleetMember(
       String name,
@@ -62,7 +49,7 @@
       String zone,
       String region,
       long incarnation) {
-    this(name, host, callerPort, peerPort, zone, region, incarnation, DEFAULT_CAPACITY);
+    this(name, host, callerPort, peerPort, zone, region, incarnation, DEFAULT_CAPACITY, 0);
   }
 
   // Written out: the generated method is linked by method handles at its first call, during the
--- a/weirlib/src/main/java/org/corianderweir/protocol/operator/RequestSample.java
+++ b/weirlib/src/main/java/org/corianderweir/protocol/operator/RequestSample.java
@@ -27,4 +27,9 @@
 
   /** Header field with the access key of the sample request. */
   public static final String KEY_HEADER = "Explained-Access-Key";
+
+  /** Returns whether the length is negative or the deadline not positive. */
+  public boolean hasInvalidFigures() {
+    return bodyBytes < 0 || deadlineMilliseconds.orElse(1L) <= 0;
+  }
 }
--- a/weirlib/src/test/java/org/corianderweir/logic/traffic/MemberWeightsTest.java
+++ b/weirlib/src/test/java/org/corianderweir/logic/traffic/MemberWeightsTest.java
@@ -58,6 +58,6 @@
   }
 
   private static FleetMember member(String name, double capacity) {
-    return new FleetMember(name, "10.0.0.1", 80, 81, "north-a", "north", 1, capacity);
+    return new FleetMember(name, "10.0.0.1", 80, 81, "north-a", "north", 1, capacity, 0);
   }
 }
