--- a/review/lib-2/Run.java
+++ b/review/lib-2/Run.java
@@ -27,7 +27,6 @@
   private final long begin = System.nanoTime();
   private final List<Process> processes = Collections.synchronizedList(new ArrayList<>());
   private int graceSeconds = 6;
-  private String storeAddress;
 
   /** An entry instance. */
   record Instance(
@@ -80,11 +79,6 @@
     graceSeconds = seconds;
   }
 
-  /** Sets the address at which instances that start later find the store. */
-  void setStoreAddress(String address) {
-    storeAddress = address;
-  }
-
   /** Replaces a line in the settings of an instance, as the platform does when they change. */
   void changeSettings(Instance instance, String line, String replacement) throws IOException {
     Path file = folder.resolve(instance.name() + ".ini");
@@ -114,7 +108,7 @@
     fields.put("{{listen.directory}}", host + ":" + directory);
     fields.put("{{bounds.ttl_max_s}}", "5");
     fields.put("{{portRange.0}}", Integer.toString(freePort(host)));
-    fields.put("{{platform.address}}", storeAddress == null ? store.address() : storeAddress);
+    fields.put("{{platform.address}}", store.address());
     fields.put("{{heartbeatMs}}", "1500");
     fields.put("{{bounds.graceS}}", Integer.toString(graceSeconds));
     fields.put("{{bounds.retryBudgetRatio}}", "0.2");
--- a/review/lib-2/Store.java
+++ b/review/lib-2/Store.java
@@ -37,8 +37,6 @@
   private final Map<Long, Lease> leases = new HashMap<>();
   private long revision = 100;
   private long lastLease = 1000;
-  private long compactedRevision;
-  private volatile boolean down;
 
   Store() throws IOException {
     socket = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
@@ -50,11 +48,6 @@
     return "127.0.0.1:" + socket.getLocalPort();
   }
 
-  /** While the store is down, it answers each call with 503 and does nothing. */
-  void setDown(boolean value) {
-    down = value;
-  }
-
   /** Writes for the operator or a server. */
   synchronized long put(String key, String value) {
     String encoded =
@@ -62,7 +55,7 @@
     return write(key, encoded, 0);
   }
 
-  synchronized void delete(String key) {
+  private void delete(String key) {
     if (items.remove(key) != null) {
       revision++;
       String json =
@@ -72,17 +65,6 @@
     }
   }
 
-  /** Drops the history, so that watches from before are answered with 410. */
-  synchronized void compact() {
-    compactedRevision = revision;
-    events.clear();
-    notifyAll();
-  }
-
-  synchronized List<String> keys(String prefix) {
-    return items.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
-  }
-
   private long write(String key, String value, long lease) {
     revision++;
     Item old = items.get(key);
@@ -134,7 +116,7 @@
       BufferedInputStream in = new BufferedInputStream(connection.getInputStream());
       OutputStream out = connection.getOutputStream();
       for (Http.Message call = Http.read(in); call != null; call = Http.read(in)) {
-        String[] answer = down ? new String[] {"503", "{}"} : answer(call);
+        String[] answer = answer(call);
         byte[] body = answer[1].getBytes(StandardCharsets.UTF_8);
         out.write(
             Http.bytes(
@@ -211,9 +193,6 @@
     long end =
         System.nanoTime() / 1_000_000 + Long.parseLong(query.getOrDefault("waitMs", "0"));
     while (true) {
-      if (after < compactedRevision) {
-        return new String[] {"410", "{}"};
-      }
       List<String> found =
           events.stream()
               .filter(event -> event.revision() > after && event.key().startsWith(prefix))
