--- a/review/lib-2/Config.java
+++ b/review/lib-2/Config.java
@@ -21,15 +21,6 @@
     return this;
   }
 
-  /** Adds a route with several services, given as JSON. */
-  Config splitRoute(String name, String prefix, String kind, int timeout, int target, int priority,
-      String backends, int attempts) {
-    routes.add(
-        "[\"%s\",\"shop.example\",\"%s\",\"%s\",%d,%d,%d,%s,%d,false,false,[],null]"
-            .formatted(name, prefix, kind, timeout, target, priority, backends, attempts));
-    return this;
-  }
-
   Config service(String name) {
     services.add("[\"%s\",\"/health\",660,\"h1\",false,3.0,2.9]".formatted(name));
     return this;
