--- a/review/lib-2/EarlyAnswers.java
+++ b/review/lib-2/EarlyAnswers.java
@@ -11,36 +11,45 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Three callers send large bodies of legal size to servers that answer before they have read them,
- * keep the connection and read on later. Ordinary callers ask other servers at the same time.
+ * One caller sends large bodies of legal size. For some seconds a part of the servers rejects a part
+ * of them before they are in, keeps the connection and reads on later. Ordinary callers ask other
+ * servers at the same time.
  */
 final class EarlyAnswers {
-  private static final int UPLOADERS = 3;
   private static final int READERS = 16;
-  private static final int BODY_BYTES = 8 * 1024 * 1024;
+  private static final int BODY_BYTES = 24 * 1024 * 1024;
   private static final int DESKS = 20;
+
+  /** Share 0.7 of the servers of a service. */
+  private static final int FAULTY_DESKS = 14;
+
+  /** These servers reject 2 of 5 long requests early. */
+  private static final int EARLY_COUNT = 2;
+
+  private static final int EARLY_OF = 5;
+  private static final int EARLY_TIME = 6_000;
   private static final int HALLS = 12;
   private static final int SLOTS = 3;
-  private static final int UPLOAD_WORK = 300;
+  private static final int UPLOAD_WORK = 100;
   private static final int READ_WORK = 880;
 
-  /** Time between an early answer and the reading of the rest of the body. */
-  private static final int LATER = 5_000;
+  /** Time between an early rejection and the reading of the rest of the body. */
+  private static final int LATER = 8_000;
 
   private static final int CALM_TIME = 3_000;
-  private static final int EARLY_TIME = 10_000;
   private static final int TIME_AFTERWARDS = 8_000;
-  private static final int PAUSE = 300;
+  private static final int PAUSE = 200;
 
   /** The rule names more than three. */
   private static final int EXCUSED = 3;
 
   private static final Set<String> atServer = ConcurrentHashMap.newKeySet();
   private static final Map<String, Integer> uploads = new ConcurrentHashMap<>();
+  private static final AtomicInteger longRequests = new AtomicInteger();
   private static final AtomicInteger early = new AtomicInteger();
   private static final AtomicInteger served = new AtomicInteger();
   private static final AtomicInteger lost = new AtomicInteger();
-  private static volatile boolean answerEarly;
+  private static volatile boolean rejectEarly;
   private static volatile boolean stopping;
 
   private EarlyAnswers() {}
@@ -57,13 +66,14 @@
 
   private static int play(Run run) throws Exception {
     for (int number = 0; number < DESKS; number++) {
+      boolean faulty = number < FAULTY_DESKS;
       Server desk =
           Server.early(
               "i-desk-" + number,
               "rota-desk",
               "erie-a",
               SLOTS,
-              (server, head, in, out) -> takeUpload(run, server, head, in, out));
+              (server, head, in, out) -> takeUpload(run, server, faulty, head, in, out));
       run.store.put("servers/" + desk.id, desk.entry("ready"));
     }
     for (int number = 0; number < HALLS; number++) {
@@ -96,23 +106,20 @@
       int reader = number;
       Thread.ofVirtual().start(() -> read(run, one, reader, readers));
     }
-    for (int number = 0; number < UPLOADERS; number++) {
-      int uploader = number;
-      Thread.ofVirtual().start(() -> upload(run, one, uploader));
-    }
+    Thread.ofVirtual().start(() -> upload(run, one));
     boolean ended = one.process().waitFor(CALM_TIME, TimeUnit.MILLISECONDS);
     if (ended || served.get() == 0) {
       run.note("the case can't run: ended %s, served %d", ended, served.get());
       return 2;
     }
-    answerEarly = Run.TROUBLE;
-    run.note("servers answer uploads early: %s", answerEarly);
+    rejectEarly = Run.TROUBLE;
+    run.note("servers reject long requests early: %s", rejectEarly);
     ended = one.process().waitFor(EARLY_TIME, TimeUnit.MILLISECONDS);
-    answerEarly = false;
+    rejectEarly = false;
     ended = ended || one.process().waitFor(TIME_AFTERWARDS, TimeUnit.MILLISECONDS);
     stopping = true;
     readers.await(5, TimeUnit.SECONDS);
-    run.note("early answers: %d, answers to uploads: %s", early.get(), uploads);
+    run.note("early rejections: %d, answers to uploads: %s", early.get(), uploads);
     run.note("ordinary requests: %d answered, %d lost", served.get(), lost.get());
     if (ended) {
       run.note("the process ended by itself with status %d", one.process().exitValue());
@@ -131,31 +138,37 @@
   }
 
   private static boolean takeUpload(
-      Run run, Server server, Http.Message head, InputStream in, OutputStream out)
+      Run run, Server server, boolean faulty, Http.Message head, InputStream in, OutputStream out)
       throws IOException, InterruptedException {
     String id = head.field("Request-Id").orElse("");
-    byte[] answer = Http.bytes(server.ran(head, 5) + "taken");
-    if (answerEarly) {
-      out.write(answer);
+    if (faulty && rejectEarly && isChosen(longRequests.getAndIncrement())) {
+      String rejection =
+          "HTTP/1.1 503 X\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+      out.write(Http.bytes(rejection.formatted(id)));
       early.incrementAndGet();
-      run.note("server %s answers %s before it reads the body", server.id, id);
+      run.note("server %s rejects %s before its body is in", server.id, id);
       Thread.sleep(LATER);
       Http.body(head, in);
       run.note("server %s has read the body of %s", server.id, id);
     } else {
       Http.body(head, in);
       Thread.sleep(UPLOAD_WORK);
-      out.write(answer);
+      out.write(Http.bytes(server.ran(head, 5) + "taken"));
       run.note("server %s has read the body of %s and answered", server.id, id);
     }
     return true;
   }
 
+  /** Returns whether the part that is rejected early grows with this request. */
+  private static boolean isChosen(int number) {
+    return (number + 1) * EARLY_COUNT / EARLY_OF > number * EARLY_COUNT / EARLY_OF;
+  }
+
   /** Sends one large body after the other, each on a new connection. */
-  private static void upload(Run run, Run.Instance one, int uploader) {
+  private static void upload(Run run, Run.Instance one) {
     byte[] body = new byte[BODY_BYTES];
     for (int number = 0; !stopping; number++) {
-      String id = "u-" + uploader + "-" + number;
+      String id = "u-" + number;
       String outcome = "closed";
       try (Socket connection = one.connect()) {
         connection.setSoTimeout(8_000);
