--- a/review/lib-2/TruncatedChunks.java
+++ b/review/lib-2/TruncatedChunks.java
@@ -9,15 +9,15 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Servers send their answers in chunks. Some break off one in twenty of them after the first chunk
+ * Servers send their answers in chunks. Half of them break off one in fifty after the first chunk
  * and send two empty lines, which are no part of a chunked body.
  */
 final class TruncatedChunks {
-  private static final int SERVERS = 5;
-  private static final int FAULTY_SERVERS = 3;
-  private static final int ANSWERS_FOR_A_SPOILT_ONE = 20;
+  private static final int SERVERS = 4;
+  private static final int FAULTY_SERVERS = 2;
+  private static final int ANSWERS_FOR_A_SPOILT_ONE = 50;
   private static final int CALLERS = 8;
-  private static final int REQUESTS = 60;
+  private static final int REQUESTS = 150;
 
   private static final Map<String, String> wholeBodies = new ConcurrentHashMap<>();
   private static final Map<String, String> spoilt = new ConcurrentHashMap<>();
