Refuse responses whose status is not between 100 and 599

Operators of other systems report that clients got an answer with the status 000. Here such an answer reached nobody: a status below 100 counted as an interim response, so the request was held until its deadline and ended with 504. A status of 600 to 999, or of four digits, was passed on as an answer.

Cause: nothing checked the range of a status where it is read.

Change: ResponseHeadReader refuses it, so that the answer is lost at once.

--- a/weirhttp/src/main/java/org/corianderweir/http/ResponseHeadReader.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ResponseHeadReader.java
@@ -12,6 +12,8 @@
  * understand differently, because a faulty server may break off a head and go on with another one.
  */
 final class ResponseHeadReader {
+  private static final int FIRST_STATUS = 100;
+  private static final int LAST_STATUS = 599;
   private static final int STATUS_SWITCHING_PROTOCOLS = 101;
   private static final int FIRST_FINAL_STATUS = 200;
   private static final int STATUS_NO_CONTENT = 204;
@@ -30,6 +32,7 @@
   private final boolean answersHeadRequest;
   private final MessageLines lines = new MessageLines(ResponseReader.HEAD_LIMIT_BYTES);
   private final List<HttpHeader> fields = new ArrayList<>();
+  private boolean statusLineRead;
   private int status;
   private boolean latestVersion;
 
@@ -50,14 +53,15 @@
    */
   Optional<ResponseHead> next(ByteBuffer bytes) throws MalformedResponseException {
     for (String line = lines.next(bytes); line != null; line = lines.next(bytes)) {
-      if (status == 0) {
+      if (!statusLineRead) {
         parseStatusLine(line);
+        statusLineRead = true;
       } else if (!line.isEmpty()) {
         fields.add(parseField(line));
       } else if (status >= FIRST_FINAL_STATUS) {
         return Optional.of(head());
       } else {
-        status = 0;
+        statusLineRead = false;
         fields.clear();
       }
     }
@@ -78,6 +82,9 @@
     }
     requireFieldValue(line.substring(REASON_POSITION));
     status = Integer.parseInt(digits);
+    if (status < FIRST_STATUS || status > LAST_STATUS) {
+      throw new MalformedResponseException("the status is not between 100 and 599");
+    }
     if (status == STATUS_SWITCHING_PROTOCOLS) {
       throw new MalformedResponseException("the server switches to another protocol");
     }
--- a/weirhttp/src/test/java/org/corianderweir/http/ResponseFramingTest.java
+++ b/weirhttp/src/test/java/org/corianderweir/http/ResponseFramingTest.java
@@ -1,6 +1,7 @@
 package org.corianderweir.http;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.time.Duration;
@@ -18,6 +19,9 @@
 public class ResponseFramingTest {
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
+  /** Far below the timeout of the exchange: a malformed response is known to be one at once. */
+  private static final Duration PROMPT = Duration.ofSeconds(5);
+
   private static final String LOST = "ANSWER_LOST";
   private static final String OK = "HTTP/1.1 200 OK\r\n";
   private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -114,6 +118,27 @@
     }
   }
 
+  @DataProvider
+  public Object[][] invalidStatuses() {
+    return new Object[][] {
+      {"000"}, {"001"}, {"099"}, {"600"}, {"999"}, {"0"}, {"20"}, {"2000"}, {"2x0"}, {"+20"},
+      {"-20"}, {" 200"}, {"200OK"}, {""}
+    };
+  }
+
+  /** An answer with the status 000 held its request until the deadline. */
+  @Test(dataProvider = "invalidStatuses")
+  public void responseWithAnInvalidStatusIsLostAtOnce(String status) throws IOException {
+    long begun = System.nanoTime();
+    String line = "HTTP/1.1 " + status + " Odd\r\n";
+    assertEquals(outcome(own(line + "Content-Length: 0\r\n\r\n"), false), LOST);
+    assertEquals(outcome(own(line + "Content-Length: 3\r\n\r\n") + "odd", false), LOST);
+    assertEquals(
+        outcome(own(line + "Transfer-Encoding: chunked\r\n\r\n") + LAST_CHUNK, false), LOST);
+    long elapsed = System.nanoTime() - begun;
+    assertTrue(elapsed < PROMPT.toNanos(), "took " + Duration.ofNanos(elapsed));
+  }
+
   @DataProvider
   public Object[][] invalidHeads() {
     return new Object[][] {
@@ -177,7 +202,7 @@
   /** Returns the body that the client takes the response for, or the code of its failure. */
   private String outcome(String response, boolean inPieces, boolean reset) throws IOException {
     CountDownLatch ended = new CountDownLatch(1);
-    boolean closes = !response.endsWith("\r\n" + LAST_CHUNK);
+    boolean closes = !response.endsWith("\r\n" + LAST_CHUNK) && !response.contains("Odd");
     try (ScriptedServer server =
         new ScriptedServer(
             connection -> {
