Give each request its final answer at the end of a planned stop

Cause: the stop counted forwarded requests, idle connections and pipelines apart from each other, none of which knew of answers that wait for their turn, and nothing answered the requests in progress at the limit. Ruled out: the order of listener and client; the connections are closed before the client ends.

Change: RequestAccount counts each request from the moment it was read to its response, and decides when the process may end.

--- a/weirbench/src/test/java/org/corianderweir/bench/metadata/PlannedStopOfEntryInstanceTest.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/metadata/PlannedStopOfEntryInstanceTest.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import org.corianderweir.daemon.SystemTimeSource;
 import org.corianderweir.http.HttpAddress;
@@ -35,6 +36,12 @@
   private static final int LATE_CALLER_COUNT = 60;
   private static final long LATE_REQUEST_GAP_MILLISECONDS = 15;
 
+  /** The request is admitted, and its time is not over when the instance ends. */
+  private static final long SLOW_REQUEST_MILLISECONDS = 2_000;
+
+  private static final int BEHIND_COUNT = 3;
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.1 ([0-9]{3})");
+
   /** A stopping instance admits all requests for this time. */
   private static final long ADMISSION_MILLISECONDS = 2_550;
 
@@ -126,6 +133,42 @@
         "of " + reached.size() + " passed on");
   }
 
+  /** Answers that were ready behind a slow one on their connection were cut off by a stop. */
+  @Test
+  public void answersBehindASlowOneAreSentBeforeTheInstanceEnds() throws Exception {
+    EntryInstanceFixture fixture = new EntryInstanceFixture(new SystemTimeSource());
+    HttpAddress address = fixture.settings().callerAddress();
+    try (Socket caller = new Socket(address.host(), address.port())) {
+      caller.setSoTimeout(ANSWER_TIMEOUT_MILLISECONDS);
+      Thread stop = new Thread(() -> stop(fixture));
+      stop.start();
+      TimeUnit.MILLISECONDS.sleep(SLOW_REQUEST_MILLISECONDS);
+      fixture.servers().forEach(server -> server.setFault(ServerStandIn.Fault.SILENT));
+      EntryInstanceFixture.send(caller, REQUEST_LINE, "slow");
+      EntryInstanceFixture.await(
+          () -> fixture.servers().stream().anyMatch(server -> hasRun(server, "slow")));
+      fixture.servers().forEach(server -> server.setFault(ServerStandIn.Fault.NONE));
+      for (int behind = 0; behind < BEHIND_COUNT; behind++) {
+        EntryInstanceFixture.send(caller, REQUEST_LINE, "behind-" + behind);
+      }
+      EntryInstanceFixture.send(caller, "POST /book/x", "unsafe");
+      stop.join();
+      String received =
+          new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+      List<String> statuses =
+          STATUS_LINE.matcher(received).results().map(found -> found.group(1)).toList();
+      assertEquals(statuses, List.of("504", "200", "200", "200", "503"), received);
+      assertEquals(fixture.servers().stream().anyMatch(server -> hasRun(server, "unsafe")), false);
+    }
+  }
+
+  private static boolean hasRun(ServerStandIn server, String identifier) {
+    return server.executedRequests().stream()
+        .anyMatch(
+            request ->
+                request.headers().first("Request-Id").filter(identifier::equals).isPresent());
+  }
+
   /** Returns the status line of the answer to a booking, or its identifier if there is none. */
   private static String answerTo(Socket socket, String identifier, String deadline) {
     try (socket) {
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
@@ -3,10 +3,11 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.corianderweir.daemon.DescriptorPlan;
 import org.corianderweir.daemon.MemoryPlan;
@@ -22,6 +23,7 @@
 import org.corianderweir.http.HttpListenerOptions;
 import org.corianderweir.http.HttpRequest;
 import org.corianderweir.http.HttpResponse;
+import org.corianderweir.http.ListenerStop;
 import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.traffic.Admission;
 import org.corianderweir.logic.traffic.FleetView;
@@ -73,6 +75,9 @@
    */
   private static final double STOP_RESERVE_RATIO = 1.0 / 6;
 
+  /** Ratio of that reserve in which the last answers may be sent to their callers. */
+  private static final double SEND_RATIO = 0.25;
+
   /**
    * Time in which look-ups and readiness checks that have arrived are answered at the end. Callers
    * that are cut off ask another instance, so the end of the process does not wait longer.
@@ -90,7 +95,7 @@
   private final TimeSource time;
   private final List<HttpListener> controlListeners;
   private final HttpListener requestListener;
-  private final AtomicInteger inFlight = new AtomicInteger();
+  private final Set<ForwardedRequest> forwardedRequests = ConcurrentHashMap.newKeySet();
   private volatile boolean ready;
   private volatile boolean stopping;
   private volatile long latestRequestNanoseconds;
@@ -172,10 +177,16 @@
     director.beginStop(stop);
     stopping = true;
     waiting.resumeAll();
-    while (!stop.mayStopListening(inFlight.get(), latestRequestNanoseconds, now())) {
+    while (!stop.mayStopListening(
+        requestListener.openRequestCount(), latestRequestNanoseconds, now())) {
       TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLISECONDS);
     }
-    requestListener.stop(STOP_QUIET_PERIOD, stop.timeLeft(now()));
+    requestListener.stop(
+        new ListenerStop(
+            STOP_QUIET_PERIOD,
+            stop.timeLeft(now()),
+            () -> forwardedRequests.forEach(ForwardedRequest::end),
+            sendTime(settings.stopTimeout())));
     controlListeners.forEach(listener -> listener.stop(Duration.ZERO, CONTROL_STOP_LIMIT));
     client.stop();
   }
@@ -185,6 +196,11 @@
     return Duration.ofMillis(Math.round((1 - STOP_RESERVE_RATIO) * stopTimeout.toMillis()));
   }
 
+  /** Returns the time in which answers are sent after the requests in progress were cut off. */
+  private static Duration sendTime(Duration stopTimeout) {
+    return Duration.ofMillis(Math.round(STOP_RESERVE_RATIO * SEND_RATIO * stopTimeout.toMillis()));
+  }
+
   private long now() {
     return time.monotonicNanoseconds();
   }
@@ -277,8 +293,8 @@
             waiting,
             log,
             time);
-    inFlight.incrementAndGet();
-    forwarded.answer().whenComplete((response, failure) -> inFlight.decrementAndGet());
+    forwardedRequests.add(forwarded);
+    forwarded.answer().whenComplete((response, failure) -> forwardedRequests.remove(forwarded));
     forwarded.start();
     return forwarded.answer();
   }
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ForwardedRequest.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/ForwardedRequest.java
@@ -1,6 +1,7 @@
 package org.corianderweir.daemon.entry;
 
 import java.time.Duration;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.UnaryOperator;
 import org.corianderweir.http.CallerConnection;
@@ -11,6 +12,7 @@
 import org.corianderweir.kernel.TimeSource;
 import org.corianderweir.logic.traffic.AdmittedRequest;
 import org.corianderweir.logic.traffic.NextStep;
+import org.corianderweir.logic.traffic.RejectionReason;
 import org.corianderweir.logic.traffic.SendOutcome;
 import org.corianderweir.logic.traffic.ServerCondition;
 import org.corianderweir.logic.traffic.ServerState;
@@ -40,6 +42,7 @@
   private final CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
   private @Nullable CompletableFuture<HttpResponse> exchange;
   private boolean abandoned;
+  private boolean ended;
 
   /**
    * One send of the request. Its connection may be established after the send was given up, when
@@ -94,6 +97,27 @@
     proceed();
   }
 
+  /**
+   * Gives the request its final answer, because this instance ends. It is sent to no server from
+   * now on; a server that works on it may have run it.
+   */
+  void end() {
+    CompletableFuture<HttpResponse> pending;
+    synchronized (this) {
+      ended = true;
+      pending = exchange;
+    }
+    if (waiting.remove(request)) {
+      perform(
+          request.mayHaveRun()
+              ? new NextStep.Fail(true)
+              : new NextStep.Reject(RejectionReason.STOPPING, Duration.ZERO),
+          null);
+    } else if (pending != null) {
+      pending.cancel(false);
+    }
+  }
+
   /** Asks for the next step of a request that is not being sent, and performs it. */
   private void proceed() {
     try {
@@ -141,7 +165,7 @@
     boolean accepted = director.accepts(attempt.server, time.monotonicNanoseconds());
     synchronized (this) {
       attempt.withheld = !accepted;
-      attempt.written = accepted && !abandoned;
+      attempt.written = accepted && !abandoned && !ended;
       return attempt.written;
     }
   }
@@ -199,7 +223,7 @@
                 () -> beginWrite(attempt));
     synchronized (this) {
       exchange = pending;
-      if (abandoned) {
+      if (abandoned || ended) {
         pending.cancel(false);
       }
     }
@@ -240,9 +264,12 @@
     if (abandoned) {
       return new SendOutcome.Abandoned(attempt.written);
     }
-    if (attempt.withheld) {
+    if (attempt.withheld || (ended && !attempt.written)) {
       return new SendOutcome.Withheld();
     }
+    if (failure instanceof CancellationException) {
+      return new SendOutcome.TimedOut();
+    }
     if (failure instanceof WeirException weirException) {
       if (weirException.code() == ErrorCode.CONNECT_FAILED) {
         return new SendOutcome.Unreachable();
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/traffic/TrafficService.java
@@ -23,6 +23,7 @@
 import org.corianderweir.http.HttpListenerOptions;
 import org.corianderweir.http.HttpRequest;
 import org.corianderweir.http.HttpResponse;
+import org.corianderweir.http.ListenerStop;
 import org.corianderweir.kernel.Service;
 import org.corianderweir.kernel.ServiceDirectory;
 import org.corianderweir.kernel.ServiceName;
@@ -172,7 +173,8 @@
         || (openRequests.get() > 0 && time.monotonicNanoseconds() < stopDeadlineNanoseconds)) {
       sleepBetweenPolls();
     }
-    listener.stop(WRITE_GRACE_PERIOD.toMillis());
+    listener.stop(
+        new ListenerStop(Duration.ZERO, WRITE_GRACE_PERIOD, () -> {}, WRITE_GRACE_PERIOD));
     delivery.stop();
     client.stop();
   }
--- a/weirhttp/src/main/java/org/corianderweir/http/CallerExchange.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/CallerExchange.java
@@ -17,6 +17,7 @@
   private final MemoryLease lease;
   private final long arrivedNanoseconds;
   private volatile long begunNanoseconds;
+  private boolean begun;
   private State state;
   private @Nullable HttpResponse response;
   private @Nullable CompletableFuture<HttpResponse> future;
@@ -103,6 +104,12 @@
   /** Records that a thread begins to handle the request. */
   void begin(long nowNanoseconds) {
     begunNanoseconds = nowNanoseconds;
+    begun = true;
+  }
+
+  /** Returns whether a thread has begun to handle the request. */
+  boolean hasBegun() {
+    return begun;
   }
 
   void setFuture(CompletableFuture<HttpResponse> handling) {
--- a/weirhttp/src/main/java/org/corianderweir/http/CallerPipeline.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/CallerPipeline.java
@@ -147,7 +147,7 @@
       added = !readingEnded && !closed;
       if (added) {
         reserveHead(exchange);
-        exchanges.add(exchange);
+        enqueue(exchange);
         acknowledgement = null;
         readingEnded = !exchange.head().keepsConnection();
       }
@@ -170,7 +170,7 @@
       if (readingEnded || closed) {
         return;
       }
-      exchanges.add(refusal);
+      enqueue(refusal);
       acknowledgement = null;
       draining = bodyFollows;
       readingEnded = !bodyFollows;
@@ -237,6 +237,7 @@
       unfinished = new ArrayList<>(exchanges);
       exchanges.clear();
     }
+    listener.account().onEnded(unfinished.size());
     readAhead.drop();
     reader.onClosed();
     for (CallerExchange exchange : unfinished) {
@@ -253,6 +254,11 @@
     }
   }
 
+  private void enqueue(CallerExchange exchange) {
+    exchanges.add(exchange);
+    listener.account().onRead();
+  }
+
   /** Counts a request that is read ahead; without memory, no more are read. */
   private void reserveHead(CallerExchange exchange) {
     if (!exchanges.isEmpty() && exchange.request().isPresent()) {
@@ -347,11 +353,11 @@
 
   private void handle(CallerExchange exchange) {
     synchronized (this) {
-      if (closed) {
+      if (closed || exchange.response().isPresent()) {
         return;
       }
+      exchange.begin(System.nanoTime());
     }
-    exchange.begin(System.nanoTime());
     CompletableFuture<HttpResponse> future;
     try {
       future = listener.handler().handle(exchange.request().orElseThrow(), exchange);
@@ -362,7 +368,7 @@
     boolean ended;
     synchronized (this) {
       exchange.setFuture(future);
-      ended = closed;
+      ended = closed || exchange.response().isPresent();
     }
     if (ended) {
       future.cancel(false);
@@ -375,7 +381,7 @@
 
   private void answer(CallerExchange exchange, HttpResponse response) {
     synchronized (this) {
-      if (closed) {
+      if (closed || exchange.response().isPresent()) {
         return;
       }
       exchange.answer(response);
@@ -383,6 +389,28 @@
     advance();
   }
 
+  /**
+   * Answers the requests that have no response: those that were begun as ones that may have run,
+   * the others as not run. Answers that are ready behind them can then be sent.
+   */
+  void endRequests() {
+    List<CallerExchange> begun = new ArrayList<>();
+    synchronized (this) {
+      for (CallerExchange exchange : exchanges) {
+        if (exchange.response().isEmpty()) {
+          if (exchange.hasBegun()) {
+            exchange.answer(ListenerResponses.ENDED);
+            begun.add(exchange);
+          } else {
+            exchange.answer(ListenerResponses.STOPPED);
+          }
+        }
+      }
+    }
+    begun.forEach(exchange -> exchange.future().ifPresent(future -> future.cancel(false)));
+    advance();
+  }
+
   private void send(CallerExchange exchange, boolean closes) {
     HttpResponse response = exchange.response().orElseThrow();
     try {
@@ -403,7 +431,9 @@
   private void onSent(CallerExchange exchange, boolean closes, boolean complete) {
     boolean mayClose;
     synchronized (this) {
-      exchanges.remove(exchange);
+      if (exchanges.remove(exchange)) {
+        listener.account().onEnded(1);
+      }
       sending = false;
       memoryShort = false;
       lastResponseSent = closes;
--- a/weirhttp/src/main/java/org/corianderweir/http/ConnectionGuard.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ConnectionGuard.java
@@ -141,6 +141,11 @@
     return othersOpen;
   }
 
+  /** Gives each request that was read and has no response its final one. */
+  void endRequests() {
+    connections.keySet().forEach(connection -> CallerPipeline.of(connection).endRequests());
+  }
+
   @Override
   public NextAction handleAccept(FilterChainContext context) {
     Connection<?> connection = context.getConnection();
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpListener.java
@@ -27,6 +27,7 @@
   private final TCPNIOTransport transport;
   private final ConnectionGuard guard;
   private final UnfinishedRequests unfinished;
+  private final RequestAccount account = new RequestAccount();
   private volatile int port;
   private volatile boolean stopping;
   private volatile @Nullable ListeningSocket socket;
@@ -73,6 +74,7 @@
             requestHandler,
             options.bodyLimitBytes(),
             options.memory(),
+            account,
             task -> transport.getWorkerThreadPool().execute(task),
             () -> stopping);
     transport.setProcessor(
@@ -125,6 +127,11 @@
     return unfinished.heldBytes();
   }
 
+  /** Returns the number of requests that were read and have no complete response. */
+  public int openRequestCount() {
+    return account.openCount();
+  }
+
   /** Returns the TCP port on which the server listens. */
   public int port() {
     return port;
@@ -136,30 +143,40 @@
   }
 
   /**
-   * Stops accepting connections, and closes each open connection when it has no request in progress
-   * and has been quiet for a time. A caller that uses its connection gets a response with {@code
-   * Connection: close} to the last request that was read, before its connection ends. Connections
-   * that the kernel has accepted by then are served like open ones.
+   * Stops as {@link #stop(ListenerStop)} does, and closes all connections after the grace.
    *
    * @param quietTime time without a request after which a connection is closed
    * @param grace time after which all connections are closed
    */
   public void stop(Duration quietTime, Duration grace) {
-    long deadlineNanoseconds = System.nanoTime() + grace.toNanos();
+    stop(ListenerStop.cuttingOff(quietTime, grace));
+  }
+
+  /**
+   * Stops accepting connections, and closes each open connection when it has no request in progress
+   * and has been quiet for a time. A caller that uses its connection gets a response with {@code
+   * Connection: close} to the last request that was read, before its connection ends. Connections
+   * that the kernel has accepted by then are served like open ones. After the grace, each request
+   * that was read gets its final answer.
+   */
+  public void stop(ListenerStop plan) {
+    long deadlineNanoseconds = System.nanoTime() + plan.grace().toNanos();
     stopping = true;
     try {
       // Grizzly's own shutdown closes connections that callers are still using.
-      unbind(grace);
-      while (closeIdleConnections(quietTime, timeLeft(deadlineNanoseconds))
-          && !timeLeft(deadlineNanoseconds).isZero()) {
-        // The open connections become idle when their responses are written.
-        TimeUnit.MILLISECONDS.sleep(STOP_POLL_INTERVAL_MILLISECONDS);
+      unbind(plan.grace());
+      awaitIdleConnections(plan.quietTime(), deadlineNanoseconds);
+      if (account.openCount() > 0 && !plan.sendTime().isZero()) {
+        sendFinalAnswers(plan);
       }
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
     }
     guard.closeIdleConnections(Duration.ZERO, System.nanoTime());
     guard.stop();
+    if (account.openCount() > 0) {
+      LOGGER.infof("%s: %d requests are cut off by the stop", options.name(), account.openCount());
+    }
     try {
       transport.shutdownNow();
     } catch (IOException failure) {
@@ -167,6 +184,31 @@
     }
   }
 
+  /**
+   * Sends the final answers of the requests in progress. What the handler has not answered in half
+   * of the time is answered here.
+   */
+  private void sendFinalAnswers(ListenerStop plan) throws InterruptedException {
+    long begunNanoseconds = System.nanoTime();
+    long sendNanoseconds = plan.sendTime().toNanos();
+    plan.endRequests().run();
+    awaitIdleConnections(Duration.ZERO, begunNanoseconds + sendNanoseconds / 2);
+    if (account.openCount() > 0) {
+      guard.endRequests();
+      awaitIdleConnections(Duration.ZERO, begunNanoseconds + sendNanoseconds);
+    }
+  }
+
+  /** Closes connections as they become idle, until none is open or a time has passed. */
+  private void awaitIdleConnections(Duration quietTime, long deadlineNanoseconds)
+      throws InterruptedException {
+    while (closeIdleConnections(quietTime, timeLeft(deadlineNanoseconds))
+        && !timeLeft(deadlineNanoseconds).isZero()) {
+      // The open connections become idle when their responses are written.
+      TimeUnit.MILLISECONDS.sleep(STOP_POLL_INTERVAL_MILLISECONDS);
+    }
+  }
+
   private void unbind(Duration limit) throws InterruptedException {
     ListeningSocket listening = socket;
     try {
--- a/weirhttp/src/main/java/org/corianderweir/http/ListenerResponses.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ListenerResponses.java
@@ -5,6 +5,7 @@
   private static final int STATUS_BAD_REQUEST = 400;
   private static final int STATUS_TOO_LARGE = 413;
   private static final int STATUS_INTERNAL_SERVER_ERROR = 500;
+  private static final int STATUS_BAD_GATEWAY = 502;
   private static final int STATUS_UNAVAILABLE = 503;
 
   /** Seconds after which a caller may send a body again for which there was no memory. */
@@ -24,6 +25,16 @@
   static final HttpResponse INTERNAL_ERROR =
       HttpResponse.json(STATUS_INTERNAL_SERVER_ERROR, "{\"code\":\"internal-error\"}");
 
+  /** The request was read but not begun when the listener ended. */
+  static final HttpResponse STOPPED =
+      refusal(STATUS_UNAVAILABLE, "stopping", "the instance stops")
+          .withHeader("Retry-After", RETRY_AFTER_SECONDS)
+          .withConnectionClose();
+
+  /** The request was being handled when the listener ended; it may have run. */
+  static final HttpResponse ENDED =
+      HttpResponse.json(STATUS_BAD_GATEWAY, "{\"code\":\"stopping\"}").withConnectionClose();
+
   private ListenerResponses() {}
 
   private static HttpResponse refusal(int status, String code, String message) {
--- a/weirhttp/src/test/java/org/corianderweir/http/ListenerStopTest.java
+++ b/weirhttp/src/test/java/org/corianderweir/http/ListenerStopTest.java
@@ -75,6 +75,39 @@
     }
   }
 
+  /** Answers that were ready behind a slow one were dropped, and a request that waited, too. */
+  @Test(timeOut = 60_000)
+  public void eachRequestThatWasReadGetsItsAnswerAfterTheGrace() throws Exception {
+    HeldRequests held = new HeldRequests();
+    HttpListener listener =
+        new HttpListener(new HttpListenerOptions("stopping", "127.0.0.1", 0, 64, 1), held);
+    listener.start();
+    try (PipeliningCaller caller = new PipeliningCaller(listener.port())) {
+      caller.send(
+          PipeliningCaller.get("/safe/slow")
+              + PipeliningCaller.get("/safe/ready")
+              + PipeliningCaller.get("/unsafe"));
+      held.awaitStarted(2);
+      held.respond("/safe/ready");
+      while (listener.openRequestCount() < 3) {
+        Thread.onSpinWait();
+      }
+      listener.stop(
+          new ListenerStop(
+              Duration.ZERO, Duration.ofMillis(200), () -> {}, Duration.ofSeconds(10)));
+      List<PipeliningCaller.Answer> answers = List.of(caller.read(), caller.read(), caller.read());
+      assertEquals(
+          answers.stream().map(PipeliningCaller.Answer::status).toList(), List.of(502, 200, 503));
+      assertEquals(answers.get(1).body(), "/safe/ready");
+      assertEquals(answers.get(2).closes(), true);
+      assertEquals(held.answer("/safe/slow").isCancelled(), true);
+      assertEquals(held.started().size(), 2, held.started().toString());
+      assertEquals(listener.openRequestCount(), 0);
+    } finally {
+      listener.stop(0);
+    }
+  }
+
   private static void connect(List<PipeliningCaller> callers, HttpListener listener)
       throws IOException {
     for (int number = 0; number < CALLER_COUNT; number++) {
