Use no connection for a request that an earlier refusal could answer

Operators of other systems report that a faulty server wrote an earlier refusal once more on a kept connection: clients were told "not run" of requests that ran, or such a request ran at a second server.

Ruled out: identifiers of their own (refused before, too), a copy before the next request is written (the connection is closed), repeats of this instance at the same server (never sent).

Change: EarlierFailures keeps the identifiers of the requests that a connection has answered with a failure, 16 at most; a request with one of them, or without an identifier, uses another connection. A failure without a name ends its connection. Clients that identify no request, as that of the store, are not affected.

Measured: HttpClientTest.copyOfAnEarlierRefusalIsNotBelievedOfALaterRequest fails in 4 of 4 cases on (the copy is taken) and passes now.

--- a/weirhttp/src/main/java/org/corianderweir/http/ConnectionPool.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ConnectionPool.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Iterator;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.glassfish.grizzly.Connection;
 
 /**
@@ -32,25 +33,24 @@
   }
 
   /**
-   * Takes the idle connection that was used last, if it has been idle for less than the given
-   * limit.
+   * Takes the idle connection that was used last among those that are suitable, if it has been idle
+   * for less than the given limit.
    */
-  synchronized Optional<Connection<?>> takeIdle(Duration idleLimit, long nowNanoseconds) {
-    IdleConnection latest = idleConnections.peekLast();
-    if (latest == null || nowNanoseconds - latest.sinceNanoseconds() >= idleLimit.toNanos()) {
-      return Optional.empty();
-    }
-    return takeIdle(nowNanoseconds);
-  }
-
-  private Optional<Connection<?>> takeIdle(long nowNanoseconds) {
-    IdleConnection candidate = idleConnections.pollLast();
-    while (candidate != null) {
-      if (candidate.isUsable(nowNanoseconds)) {
+  synchronized Optional<Connection<?>> takeIdle(
+      Duration idleLimit, long nowNanoseconds, Predicate<Connection<?>> suitable) {
+    Iterator<IdleConnection> candidates = idleConnections.descendingIterator();
+    while (candidates.hasNext()) {
+      IdleConnection candidate = candidates.next();
+      if (nowNanoseconds - candidate.sinceNanoseconds() >= idleLimit.toNanos()) {
+        return Optional.empty();
+      }
+      if (!candidate.isUsable(nowNanoseconds)) {
+        candidates.remove();
+        candidate.connection().closeSilently();
+      } else if (suitable.test(candidate.connection())) {
+        candidates.remove();
         return Optional.of(candidate.connection());
       }
-      candidate.connection().closeSilently();
-      candidate = idleConnections.pollLast();
     }
     return Optional.empty();
   }
--- a/weirhttp/src/main/java/org/corianderweir/http/ExchangeFilter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ExchangeFilter.java
@@ -20,6 +20,8 @@
   private static final Attribute<PendingResponse> PENDING =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("corianderweir.http.pending");
 
+  private static final int FIRST_FAILURE_STATUS = 400;
+
   private final HttpClientOptions options;
   private final Release release;
 
@@ -107,7 +109,7 @@
       case ADDED -> {
         if (part.last()) {
           PENDING.remove(connection);
-          giveBack(connection, pending, complete(pending, part.head(), reusable));
+          giveBack(connection, pending, complete(connection, pending, part.head(), reusable));
         }
         yield !part.last();
       }
@@ -129,7 +131,7 @@
     startReading(connection);
     if (pending.isComplete()) {
       PENDING.remove(connection);
-      giveBack(connection, pending, complete(pending, head, reusable));
+      giveBack(connection, pending, complete(connection, pending, head, reusable));
     }
   }
 
@@ -163,7 +165,7 @@
    * ended otherwise; returns the response if its connection may be used again.
    */
   private Optional<HttpResponse> complete(
-      PendingResponse pending, ResponseHead head, boolean reusable) {
+      Connection<?> connection, PendingResponse pending, ResponseHead head, boolean reusable) {
     Optional<byte[]> body = pending.takeBody();
     if (body.isEmpty()) {
       failLost(pending, "there is no memory for the response body");
@@ -175,18 +177,26 @@
       return Optional.empty();
     }
     pending.endOwnLease();
+    boolean distinguishable =
+        response.status() < FIRST_FAILURE_STATUS
+            || !identifiesRequests(pending.exchange())
+            || EarlierFailures.record(
+                connection, response.headers().first(options.identifierHeader()));
     boolean completed = pending.exchange().complete(response);
-    return completed && reusable ? Optional.of(response) : Optional.empty();
+    return completed && reusable && distinguishable ? Optional.of(response) : Optional.empty();
+  }
+
+  /** Returns whether responses are matched by an identifier; those of the store are not. */
+  private boolean identifiesRequests(HttpExchange exchange) {
+    return options.echoHeader().isPresent()
+        || exchange.requestHeader(options.identifierHeader()).isPresent();
   }
 
   private boolean matchesRequest(HttpResponse response, HttpExchange exchange) {
-    if (options.echoHeader().isPresent()) {
-      String name = options.echoHeader().get();
-      return exchange.requestHeader(name).equals(response.headers().first(name));
-    }
-    String name = HttpClient.REQUEST_IDENTIFIER_HEADER;
+    String name = options.identifierHeader();
     Optional<String> named = response.headers().first(name);
-    return named.isEmpty() || named.equals(exchange.requestHeader(name));
+    boolean unnamedAllowed = options.echoHeader().isEmpty() && named.isEmpty();
+    return unnamedAllowed || named.equals(exchange.requestHeader(name));
   }
 
   @Override
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpClient.java
@@ -137,7 +137,12 @@
     exchange.setDeadlineTask(
         timer.schedule(() -> expire(exchange), timeout.toNanos(), TimeUnit.NANOSECONDS));
     ConnectionPool pool = pool(address);
-    Optional<Connection<?>> reusable = pool.takeIdle(idleLimit, System.nanoTime());
+    Optional<String> identifier = exchange.requestHeader(options.identifierHeader());
+    Optional<Connection<?>> reusable =
+        pool.takeIdle(
+            idleLimit,
+            System.nanoTime(),
+            connection -> EarlierFailures.allow(connection, identifier));
     if (reusable.isPresent()) {
       send(exchange, reusable.get());
     } else if (pool.reserve()) {
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpClientOptions.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpClientOptions.java
@@ -50,6 +50,11 @@
         new BodyMemory(SMALL_BODIES_BYTES, (long) LARGEST_BODY_COUNT * responseLimitBytes));
   }
 
+  /** Returns the name of the header field in which a response names its request. */
+  String identifierHeader() {
+    return echoHeader.orElse(HttpClient.REQUEST_IDENTIFIER_HEADER);
+  }
+
   /** Returns the same options with the given local IP address of connections. */
   public HttpClientOptions withLocalHost(String host) {
     return new HttpClientOptions(
--- a/weirhttp/src/test/java/org/corianderweir/http/HttpClientTest.java
+++ b/weirhttp/src/test/java/org/corianderweir/http/HttpClientTest.java
@@ -466,13 +466,88 @@
     }
   }
 
-  private CompletableFuture<HttpResponse> exchangeWithEcho(ScriptedServer server) {
+  @DataProvider
+  public Object[][] repeatedNames() {
+    return new Object[][] {
+      {"one identifier for both", "one", "one", true},
+      {"no identifier", "", "", true},
+      {"one identifier for both, no echo required", "one", "one", false},
+      {"a server that names no request", "one", "", false}
+    };
+  }
+
+  /**
+   * A server sent an earlier refusal once more in the place of the answer to a request that it ran.
+   * The request counted as not run, and was sent to another server or refused.
+   */
+  @Test(dataProvider = "repeatedNames")
+  public void copyOfAnEarlierRefusalIsNotBelievedOfALaterRequest(
+      String test, String name, String echo, boolean echoRequired) throws Exception {
+    String field = echo.isEmpty() ? "" : "Weir-Request: " + echo + "\r\n";
+    String refusal = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n" + field + "Content-Length: 0\r\n\r\n";
+    try (ScriptedServer server =
+        new ScriptedServer(
+            connection -> {
+              connection.read();
+              if (connection.number() == 1) {
+                connection.write(refusal);
+                connection.read();
+                connection.write(refusal);
+              }
+              connection.write(STATUS_LINE_OK + field + "Content-Length: 3\r\n\r\nown");
+              connection.awaitClose();
+            })) {
+      if (echoRequired) {
+        restartWithEcho("Weir-Request");
+      }
+      HttpHeaders headers =
+          name.isEmpty() ? HttpHeaders.NONE : HttpHeaders.NONE.with("Weir-Request", name);
+      HttpRequest request = new HttpRequest("POST", "/", headers, new byte[0]);
+      int first = client.exchange(server.address(), request, LONG_TIMEOUT).join().status();
+      // The connection returns to the pool shortly after its response has completed.
+      TimeUnit.MILLISECONDS.sleep(50);
+      int second = client.exchange(server.address(), request, LONG_TIMEOUT).join().status();
+      assertEquals(List.of(first, second), List.of(503, 200), test);
+    }
+  }
+
+  /** Refusals under load must not cost a connection each. */
+  @Test
+  public void connectionIsReusedAfterRefusalsOfOtherRequests() throws Exception {
+    try (ScriptedServer server =
+        new ScriptedServer(
+            connection -> {
+              while (true) {
+                String identifier = connection.read().split("Weir-Request: ")[1].split("\r\n")[0];
+                connection.write(
+                    "HTTP/1.1 503 Full\r\nWeir-Request: "
+                        + identifier
+                        + "\r\nContent-Length: 0\r\n\r\n");
+              }
+            })) {
+      for (int number = 0; number < EarlierFailures.LIMIT; number++) {
+        HttpHeaders headers = HttpHeaders.NONE.with("Weir-Request", "r" + number);
+        client
+            .exchange(
+                server.address(), new HttpRequest("GET", "/", headers, new byte[0]), LONG_TIMEOUT)
+            .join();
+      }
+      // A connection may return to the pool after the next request has begun.
+      assertTrue(server.connections() <= 2, "connections: " + server.connections());
+    }
+  }
+
+  private void restartWithEcho(String headerName) {
     client.stop();
     client =
         new HttpClient(
             new HttpClientOptions("test", LONG_TIMEOUT, LONG_TIMEOUT, RESPONSE_LIMIT_BYTES)
-                .withEchoHeader("Request-Name"));
+                .withEchoHeader(headerName));
     client.start();
+  }
+
+  private CompletableFuture<HttpResponse> exchangeWithEcho(ScriptedServer server) {
+    restartWithEcho("Request-Name");
     return client.exchange(
         server.address(), named(HttpRequest.of("GET", "/"), "one"), LONG_TIMEOUT);
   }
