Plan a stop with the stop time of the present settings

Cause: a reload applied the bounds of the director only; the entry service kept the settings of the start.

Change: a reload sets the stop time, too. A change during a stop still has no effect on it.

--- a/weirbench/src/test/java/org/corianderweir/bench/metadata/EntryInstanceFixture.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/metadata/EntryInstanceFixture.java
@@ -52,6 +52,27 @@
     await(() -> store.keys("corianderweir/members/").size() == 1);
   }
 
+  /** Changes the stop time of the instance, as SIGHUP does after a change of the settings file. */
+  void reloadStopTimeout(Duration stopTimeout) {
+    instance.reload(
+        new EntrySettings(
+            settings.name(),
+            settings.location(),
+            settings.callerAddress(),
+            settings.readinessAddress(),
+            settings.lookupAddress(),
+            settings.peerPort(),
+            settings.metricsPort(),
+            settings.storeAddress(),
+            settings.lookupLifetime(),
+            stopTimeout,
+            settings.heartbeatInterval(),
+            settings.fileDescriptorLimit(),
+            settings.processorCapacity(),
+            settings.unfinishedLimits(),
+            settings.bounds()));
+  }
+
   private EntrySettings newSettings(String name) throws Exception {
     return new EntrySettings(
         name,
--- a/weirbench/src/test/java/org/corianderweir/bench/metadata/PlannedStopOfEntryInstanceTest.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/metadata/PlannedStopOfEntryInstanceTest.java
@@ -1,6 +1,7 @@
 package org.corianderweir.bench.metadata;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -40,6 +41,7 @@
   private static final long SLOW_REQUEST_MILLISECONDS = 2_000;
 
   private static final int BEHIND_COUNT = 3;
+  private static final Duration SHORT_STOP_TIMEOUT = Duration.ofMillis(1_500);
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.1 ([0-9]{3})");
 
   /** A stopping instance admits all requests for this time. */
@@ -162,6 +164,25 @@
     }
   }
 
+  /** A stop was planned with the stop time of the start, and SIGKILL came before its end. */
+  @Test
+  public void stopEndsWithinTheStopTimeOfChangedSettings() throws Exception {
+    EntryInstanceFixture fixture = new EntryInstanceFixture(new SystemTimeSource());
+    HttpAddress address = fixture.settings().callerAddress();
+    fixture.servers().forEach(server -> server.setFault(ServerStandIn.Fault.SILENT));
+    fixture.reloadStopTimeout(SHORT_STOP_TIMEOUT);
+    try (Socket caller = new Socket(address.host(), address.port())) {
+      EntryInstanceFixture.send(caller, "POST /book/x", "silent");
+      EntryInstanceFixture.await(
+          () -> fixture.servers().stream().anyMatch(server -> hasRun(server, "silent")));
+      long begunNanoseconds = System.nanoTime();
+      fixture.close();
+      Duration taken = Duration.ofNanos(System.nanoTime() - begunNanoseconds);
+      assertEquals(readAvailable(caller).substring(0, 12), "HTTP/1.1 504");
+      assertTrue(taken.compareTo(SHORT_STOP_TIMEOUT) <= 0, "took " + taken);
+    }
+  }
+
   private static boolean hasRun(ServerStandIn server, String identifier) {
     return server.executedRequests().stream()
         .anyMatch(
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryInstanceServices.java
@@ -153,9 +153,10 @@
     storeClient.stop();
   }
 
-  /** Applies the bounds of changed settings. */
+  /** Applies the bounds and the stop time of changed settings. */
   public void reload(EntrySettings settings) {
     director.apply(settings.bounds());
+    entryService.setStopTimeout(settings.stopTimeout());
     record(EventCode.SETTINGS_RELOADED);
   }
 
--- a/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
+++ b/weirdaemon/src/main/java/org/corianderweir/daemon/entry/EntryService.java
@@ -96,6 +96,7 @@
   private final List<HttpListener> controlListeners;
   private final HttpListener requestListener;
   private final Set<ForwardedRequest> forwardedRequests = ConcurrentHashMap.newKeySet();
+  private volatile Duration stopTimeout;
   private volatile boolean ready;
   private volatile boolean stopping;
   private volatile long latestRequestNanoseconds;
@@ -108,6 +109,7 @@
       RequestLog log,
       TimeSource time) {
     this.settings = settings;
+    stopTimeout = settings.stopTimeout();
     this.director = director;
     this.waiting = waiting;
     this.log = log;
@@ -169,11 +171,16 @@
     return Stream.concat(Stream.of(requestListener), controlListeners.stream()).toList();
   }
 
+  /** Sets the time between the stop signal and the end of the process for a stop that follows. */
+  void setStopTimeout(Duration timeout) {
+    stopTimeout = timeout;
+  }
+
   /** Stops when callers have noticed and all requests are answered, at the latest in time. */
   void stopGracefully() throws InterruptedException {
+    Duration timeout = stopTimeout;
     PlannedStop stop =
-        new PlannedStop(
-            now(), STOP_ADMISSION_PERIOD, STOP_QUIET_PERIOD, stopLimit(settings.stopTimeout()));
+        new PlannedStop(now(), STOP_ADMISSION_PERIOD, STOP_QUIET_PERIOD, stopLimit(timeout));
     director.beginStop(stop);
     stopping = true;
     waiting.resumeAll();
@@ -186,7 +193,7 @@
             STOP_QUIET_PERIOD,
             stop.timeLeft(now()),
             () -> forwardedRequests.forEach(ForwardedRequest::end),
-            sendTime(settings.stopTimeout())));
+            sendTime(timeout)));
     controlListeners.forEach(listener -> listener.stop(Duration.ZERO, CONTROL_STOP_LIMIT));
     client.stop();
   }
