Framing test: the identifier stands behind the status line

A case whose response begins with an empty line, or has line feeds alone, got the identifier of the request in the wrong place or not at all, so that it could have passed for the wrong reason.

--- a/weirhttp/src/test/java/org/corianderweir/http/ResponseFramingTest.java
+++ b/weirhttp/src/test/java/org/corianderweir/http/ResponseFramingTest.java
@@ -175,7 +175,7 @@
     };
   }
 
-  /** A head that a server broke off was passed on as a whole answer with an empty body. */
+  /** Guards against a head that breaks off and counts as a whole answer with an empty body. */
   @Test(dataProvider = "endsOfHeads")
   public void headThatBreaksOffIsNoAnswer(String name, String end, boolean reset)
       throws IOException {
@@ -191,8 +191,9 @@
     }
   }
 
+  /** Adds the identifier of the request behind the status line, with the line end found there. */
   private static String own(String response) {
-    return response.replaceFirst("\r\n(?=[A-Z])", "\r\nRequest-Name: one\r\n");
+    return response.replaceFirst("(?i)(http/.*?)(\r?\n)", "$1$2Request-Name: one$2");
   }
 
   private String outcome(String response, boolean inPieces) throws IOException {
@@ -202,6 +203,7 @@
   /** Returns the body that the client takes the response for, or the code of its failure. */
   private String outcome(String response, boolean inPieces, boolean reset) throws IOException {
     CountDownLatch ended = new CountDownLatch(1);
+    // Where the end of a response is in question, the end of the connection must not show it.
     boolean closes = !response.endsWith("\r\n" + LAST_CHUNK) && !response.contains("Odd");
     try (ScriptedServer server =
         new ScriptedServer(
