Share the grammar of framing fields, and drop state that can be derived

- HttpGrammar holds the check of a content length and the names of framing fields, which FramingValidator, RequestEncoder and ResponseHeadReader each had.
FramingValidator.isMethod only passed on to HttpGrammar.isToken.
- The reader of chunks is created for chunked responses only, not for each.
- CallerExchange has one state in the place of a state and a flag.
- EarlierFailures needs no flag: a connection that may carry no further request is closed, so nothing asks it again.
- ChunkSizeLine checks nothing beyond Character.digit: no character of one byte beyond ASCII is a digit.
- A factory of a map in a test is gone.

--- a/weirbench/src/test/java/org/corianderweir/bench/metadata/FaultyServer.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/metadata/FaultyServer.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -151,9 +150,4 @@
     }
     return "";
   }
-
-  /** Returns a map for the runs of all servers. */
-  static Map<String, AtomicInteger> noRuns() {
-    return new ConcurrentHashMap<>();
-  }
 }
--- a/weirbench/src/test/java/org/corianderweir/bench/metadata/FaultyServersTest.java
+++ b/weirbench/src/test/java/org/corianderweir/bench/metadata/FaultyServersTest.java
@@ -51,7 +51,7 @@
    */
   @Test(dataProvider = "seeds")
   public void callersGetTheWholeTruth(long seed) throws Exception {
-    Map<String, AtomicInteger> runs = FaultyServer.noRuns();
+    Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     Map<String, Received> received = new ConcurrentHashMap<>();
     List<FaultyServer> servers = new ArrayList<>();
     try (EntryInstanceFixture fixture = new EntryInstanceFixture(new SystemTimeSource())) {
--- a/weirhttp/src/main/java/org/corianderweir/http/CallerExchange.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/CallerExchange.java
@@ -17,7 +17,6 @@
   private final MemoryLease lease;
   private final long arrivedNanoseconds;
   private volatile long begunNanoseconds;
-  private boolean begun;
   private State state;
   private @Nullable HttpResponse response;
   private @Nullable CompletableFuture<HttpResponse> future;
@@ -25,6 +24,7 @@
   private enum State {
     WAITING,
     STARTED,
+    BEGUN,
     ANSWERED
   }
 
@@ -104,12 +104,12 @@
   /** Records that a thread begins to handle the request. */
   void begin(long nowNanoseconds) {
     begunNanoseconds = nowNanoseconds;
-    begun = true;
+    state = State.BEGUN;
   }
 
   /** Returns whether a thread has begun to handle the request. */
   boolean hasBegun() {
-    return begun;
+    return state == State.BEGUN;
   }
 
   void setFuture(CompletableFuture<HttpResponse> handling) {
--- a/weirhttp/src/main/java/org/corianderweir/http/ChunkSizeLine.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ChunkSizeLine.java
@@ -39,8 +39,7 @@
   }
 
   private int digit() {
-    char character = line.charAt(position);
-    return character < 128 ? Character.digit(character, RADIX) : -1;
+    return Character.digit(line.charAt(position), RADIX);
   }
 
   private void parseExtension() throws MalformedResponseException {
--- a/weirhttp/src/main/java/org/corianderweir/http/EarlierFailures.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/EarlierFailures.java
@@ -21,7 +21,6 @@
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("corianderweir.http.failures");
 
   private final Set<String> identifiers = new HashSet<>();
-  private boolean indistinguishable;
 
   private EarlierFailures() {}
 
@@ -48,11 +47,10 @@
 
   private synchronized boolean add(Optional<String> identifier) {
     identifier.ifPresent(identifiers::add);
-    indistinguishable |= identifier.isEmpty() || identifiers.size() > LIMIT;
-    return !indistinguishable;
+    return identifier.isPresent() && identifiers.size() <= LIMIT;
   }
 
   private synchronized boolean contains(Optional<String> identifier) {
-    return indistinguishable || identifier.filter(identifiers::contains).isPresent();
+    return identifier.filter(identifiers::contains).isPresent();
   }
 }
--- a/weirhttp/src/main/java/org/corianderweir/http/FramingValidator.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/FramingValidator.java
@@ -10,8 +10,6 @@
  * 6.3 and 11.2). This prevents request smuggling.
  */
 final class FramingValidator {
-  private static final int LENGTH_LIMIT_DIGITS = 18;
-
   private FramingValidator() {}
 
   /**
@@ -45,26 +43,17 @@
    */
   static boolean isLengthAmbiguous(MimeHeaders headers) {
     int last = headers.size() - 1;
-    if (last < 0 || !isFraming(headers.getName(last).toString())) {
+    if (last < 0 || !HttpGrammar.isFramingField(headers.getName(last).toString())) {
       return false;
     }
     for (int index = 0; index < last; index++) {
-      if (isFraming(headers.getName(index).toString())) {
+      if (HttpGrammar.isFramingField(headers.getName(index).toString())) {
         return true;
       }
     }
     return false;
   }
 
-  private static boolean isFraming(String name) {
-    return name.equalsIgnoreCase("content-length") || name.equalsIgnoreCase("transfer-encoding");
-  }
-
-  /** Returns whether a method consists of the characters that are allowed in methods. */
-  static boolean isMethod(String method) {
-    return HttpGrammar.isToken(method);
-  }
-
   /** Returns the first problem of the header fields of a message, or empty if they are valid. */
   static Optional<String> findProblem(MimeHeaders headers) {
     int lengths = 0;
@@ -79,7 +68,7 @@
       switch (name.toLowerCase(Locale.ROOT)) {
         case "content-length" -> {
           lengths++;
-          if (!isLength(value)) {
+          if (!HttpGrammar.isLength(value)) {
             return Optional.of("the content length is not a number");
           }
         }
@@ -99,12 +88,6 @@
     return ambiguous ? Optional.of("the end of the message is ambiguous") : Optional.empty();
   }
 
-  private static boolean isLength(String value) {
-    return !value.isEmpty()
-        && value.length() <= LENGTH_LIMIT_DIGITS
-        && value.chars().allMatch(character -> character >= '0' && character <= '9');
-  }
-
   private static boolean hasControlCharacter(String value) {
     return value.chars().anyMatch(character -> character < ' ' && character != '\t');
   }
--- a/weirhttp/src/main/java/org/corianderweir/http/HttpGrammar.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/HttpGrammar.java
@@ -4,6 +4,7 @@
 final class HttpGrammar {
   private static final char DELETE = 127;
   private static final int LARGEST_BYTE = 255;
+  private static final int LENGTH_DIGITS_LIMIT = 18;
   private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
 
   private HttpGrammar() {}
@@ -36,6 +37,22 @@
     return character > ' ' && character != DELETE && character <= LARGEST_BYTE;
   }
 
+  /** Returns whether a text consists of digits only. */
+  static boolean isNumber(String text) {
+    return !text.isEmpty()
+        && text.chars().allMatch(character -> character >= '0' && character <= '9');
+  }
+
+  /** Returns whether a text is a content length that is not too large for a long. */
+  static boolean isLength(String text) {
+    return text.length() <= LENGTH_DIGITS_LIMIT && isNumber(text);
+  }
+
+  /** Returns whether a field with a name tells where the body of its message ends. */
+  static boolean isFramingField(String name) {
+    return name.equalsIgnoreCase("Content-Length") || name.equalsIgnoreCase("Transfer-Encoding");
+  }
+
   /** Returns a field value without the white space around it, which is not a part of it. */
   static String withoutWhiteSpace(String text) {
     int start = 0;
--- a/weirhttp/src/main/java/org/corianderweir/http/RequestEncoder.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/RequestEncoder.java
@@ -27,7 +27,7 @@
     head.append(LINE_END);
     append(head, "Host", request.headers().first("Host").orElse(defaultHost));
     for (HttpHeader field : request.headers().fields()) {
-      if (!field.name().equalsIgnoreCase("Host") && !isFraming(field.name())) {
+      if (!field.name().equalsIgnoreCase("Host") && !HttpGrammar.isFramingField(field.name())) {
         append(head, field.name(), field.value());
       }
     }
@@ -46,10 +46,6 @@
     head.append(name).append(": ").append(value).append(LINE_END);
   }
 
-  private static boolean isFraming(String name) {
-    return name.equalsIgnoreCase("Content-Length") || name.equalsIgnoreCase("Transfer-Encoding");
-  }
-
   private static boolean isTarget(String target) {
     return !target.isEmpty() && target.chars().allMatch(HttpGrammar::isVisible);
   }
--- a/weirhttp/src/main/java/org/corianderweir/http/ResponseHeadReader.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ResponseHeadReader.java
@@ -18,7 +18,6 @@
   private static final int FIRST_FINAL_STATUS = 200;
   private static final int STATUS_NO_CONTENT = 204;
   private static final int STATUS_NOT_MODIFIED = 304;
-  private static final int LENGTH_DIGITS_LIMIT = 18;
   private static final String LATEST_VERSION = "HTTP/1.1 ";
   private static final String EARLIER_VERSION = "HTTP/1.0 ";
   private static final int STATUS_POSITION = LATEST_VERSION.length();
@@ -77,7 +76,7 @@
       throw new MalformedResponseException("the status is not a number of three digits");
     }
     String digits = line.substring(STATUS_POSITION, REASON_POSITION - 1);
-    if (!isNumber(digits)) {
+    if (!HttpGrammar.isNumber(digits)) {
       throw new MalformedResponseException("the status is not a number of three digits");
     }
     requireFieldValue(line.substring(REASON_POSITION));
@@ -122,7 +121,7 @@
     if (lengths.size() + encodings.size() > 1) {
       throw new MalformedResponseException("the end of the body is ambiguous");
     }
-    if (!lengths.isEmpty() && !isLength(lengths.getFirst())) {
+    if (!lengths.isEmpty() && !HttpGrammar.isLength(lengths.getFirst())) {
       throw new MalformedResponseException("the content length is not a number");
     }
     boolean chunked = !encodings.isEmpty();
@@ -156,13 +155,4 @@
     }
     return keeps && !closes;
   }
-
-  private static boolean isLength(String text) {
-    return text.length() <= LENGTH_DIGITS_LIMIT && isNumber(text);
-  }
-
-  private static boolean isNumber(String text) {
-    return !text.isEmpty()
-        && text.chars().allMatch(character -> character >= '0' && character <= '9');
-  }
 }
--- a/weirhttp/src/main/java/org/corianderweir/http/ResponseReader.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/ResponseReader.java
@@ -1,6 +1,7 @@
 package org.corianderweir.http;
 
 import java.nio.ByteBuffer;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
@@ -15,8 +16,8 @@
   static final int HEAD_LIMIT_BYTES = 8 * 1024;
 
   private final ResponseHeadReader headReader;
-  private final ChunkedBodyReader chunks = new ChunkedBodyReader();
   private @Nullable ResponseHead head;
+  private @Nullable ChunkedBodyReader chunks;
   private long remainingBytes;
 
   /** What the bytes that were received tell. */
@@ -62,7 +63,8 @@
       }
       return switch (present.framing()) {
         case BodyFraming.Length(long length) -> readData(present, length, bytes);
-        case BodyFraming.Chunks unused -> readChunks(present, bytes);
+        case BodyFraming.Chunks unused ->
+            readChunks(present, Objects.requireNonNull(chunks), bytes);
       };
     } catch (MalformedResponseException malformed) {
       return new Progress.Malformed("the response is malformed: " + malformed.reason());
@@ -71,11 +73,14 @@
 
   private void readHead(ByteBuffer bytes) throws MalformedResponseException {
     Optional<ResponseHead> complete = headReader.next(bytes);
-    if (complete.isPresent()
-        && complete.get().framing() instanceof BodyFraming.Length(long length)) {
-      remainingBytes = length;
+    if (complete.isEmpty()) {
+      return;
     }
-    head = complete.orElse(null);
+    switch (complete.get().framing()) {
+      case BodyFraming.Length(long length) -> remainingBytes = length;
+      case BodyFraming.Chunks unused -> chunks = new ChunkedBodyReader();
+    }
+    head = complete.get();
   }
 
   private Progress readData(ResponseHead present, long lengthBytes, ByteBuffer bytes) {
@@ -88,7 +93,8 @@
     return new Progress.BodyPart(present, part, OptionalLong.of(lengthBytes), remainingBytes == 0);
   }
 
-  private Progress readChunks(ResponseHead present, ByteBuffer bytes)
+  private static Progress readChunks(
+      ResponseHead present, ChunkedBodyReader chunks, ByteBuffer bytes)
       throws MalformedResponseException {
     byte[] part = chunks.next(bytes);
     return part == null
--- a/weirhttp/src/main/java/org/corianderweir/http/StrictServerFilter.java
+++ b/weirhttp/src/main/java/org/corianderweir/http/StrictServerFilter.java
@@ -98,7 +98,7 @@
     HttpRequestPacket request = (HttpRequestPacket) message;
     Protocol protocol = request.getProtocol();
     boolean supported = protocol == Protocol.HTTP_1_1 || protocol == Protocol.HTTP_1_0;
-    if (!supported || !FramingValidator.isMethod(request.getMethod().getMethodString())) {
+    if (!supported || !HttpGrammar.isToken(request.getMethod().getMethodString())) {
       throw new HttpBrokenContentException("not an HTTP/1.1 request");
     }
     boolean failed = super.onHttpHeaderParsed(message, buffer, context);
